--- /dev/null
+++ b/include/hawthornnotch/base/blackboard.h
@@ -0,0 +1,47 @@
+/// \file
+/// Shared, versioned facts that controllers read and write.
+#ifndef HAWTHORNNOTCH_BASE_BLACKBOARD_H_
+#define HAWTHORNNOTCH_BASE_BLACKBOARD_H_
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+
+namespace hawthornnotch {
+
+/// One entry of the blackboard: an immutable value replaced whole.
+///
+/// Example:
+///     entry<fleet_snapshot> fleet;
+///     fleet.post(std::make_shared<const fleet_snapshot>(next));
+///     auto seen = fleet.read();  // stays valid while held
+/// Ownership: shares the value with its readers.  Thread safety: all members are thread safe.
+template <class T>
+class entry {
+ public:
+  /// Replaces the value.
+  void post(std::shared_ptr<const T> value) {
+    const std::lock_guard lock(mutex_);
+    value_ = std::move(value);
+    ++posted_;
+  }
+  /// \returns the newest value, or null before the first `post`.
+  [[nodiscard]] std::shared_ptr<const T> read() const {
+    const std::lock_guard lock(mutex_);
+    return value_;
+  }
+  /// \returns how often a value was posted.
+  [[nodiscard]] std::uint64_t posted() const {
+    const std::lock_guard lock(mutex_);
+    return posted_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::shared_ptr<const T> value_;
+  std::uint64_t posted_ = 0;
+};
+
+}  // namespace hawthornnotch
+
+#endif  // HAWTHORNNOTCH_BASE_BLACKBOARD_H_
--- /dev/null
+++ b/include/hawthornnotch/member/fleet.h
@@ -0,0 +1,83 @@
+/// \file
+/// The VMs of a failure domain and what runs on them, as an immutable snapshot.
+#ifndef HAWTHORNNOTCH_MEMBER_FLEET_H_
+#define HAWTHORNNOTCH_MEMBER_FLEET_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/config/model.h"
+
+namespace hawthornnotch {
+
+/// An address a process listens on.
+struct endpoint {
+  std::string address;
+  std::uint16_t port = 0;
+  auto operator<=>(const endpoint&) const = default;
+};
+
+enum class backend_kind : std::uint8_t { engine, service };
+
+/// One model engine or plain service.
+struct backend_server {
+  std::string id;
+  /// Differs for each start of the VM under the same id.
+  std::string incarnation;
+  std::string failure_domain;
+  endpoint address;
+  backend_kind kind = backend_kind::engine;
+  /// Models that an engine serves, or the one service name.
+  std::vector<std::string> serves;
+  /// Requests that run side by side without queueing at the server.
+  std::uint32_t slots = 8;
+  /// True once announced or listed as leaving; never false again for this incarnation.
+  bool leaving = false;
+  /// True if the server refuses an order with an old fencing number.
+  bool checks_fencing = false;
+  auto operator<=>(const backend_server&) const = default;
+};
+
+/// The newest load report of a backend server.
+struct load_report {
+  std::string backend_server;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  /// When the server measured it, by this process's monotonic clock.
+  time_point measured;
+  auto operator<=>(const load_report&) const = default;
+};
+
+/// One entry VM: its agent and its router.
+struct entry_vm {
+  std::string id;
+  std::string incarnation;
+  std::string failure_domain;
+  endpoint agent;
+  endpoint router;
+  bool leaving = false;
+  auto operator<=>(const entry_vm&) const = default;
+};
+
+/// Requests waiting at one peer router, by tier.
+struct peer_waiting {
+  std::string vm;
+  std::uint32_t by_tier[tier_count] = {};
+};
+
+/// All that a router knows of its failure domain.
+struct fleet_snapshot {
+  /// Rises with every change within one agent incarnation.
+  std::uint64_t version = 0;
+  std::vector<backend_server> backend_servers;
+  /// Routers that share the backend servers, this one included.
+  std::vector<entry_vm> entry_vms;
+  std::vector<load_report> reports;
+  std::vector<peer_waiting> waiting;
+};
+
+}  // namespace hawthornnotch
+
+#endif  // HAWTHORNNOTCH_MEMBER_FLEET_H_
--- /dev/null
+++ b/include/hawthornnotch/net/http_client.h
@@ -0,0 +1,68 @@
+/// \file
+/// HTTP/1.1 client over Beast: whole answers or streams, with bounds and kept connections.
+#ifndef HAWTHORNNOTCH_NET_HTTP_CLIENT_H_
+#define HAWTHORNNOTCH_NET_HTTP_CLIENT_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/base/result.h"
+#include "hawthornnotch/member/fleet.h"
+#include "hawthornnotch/net/http_message.h"
+
+namespace hawthornnotch::net {
+
+/// Bounds of one exchange.
+struct exchange_limits {
+  duration connect_timeout{1'000};
+  /// From the request's last byte to the answer's head.
+  duration head_timeout{30'000};
+  /// Between two reads of the body.
+  duration read_timeout{30'000};
+  std::uint64_t body_bytes = 16 * 1024 * 1024;
+  /// False opens a fresh connection, so that no stale one can swallow the request.
+  bool reuse_connection = true;
+};
+
+/// An answer whose head has arrived and whose body is read piece by piece.
+///
+/// Ownership: owns its connection.  Thread safety: used from one strand.
+class response_stream {
+ public:
+  virtual ~response_stream() = default;
+  /// Status and headers; the body is empty.
+  [[nodiscard]] virtual const http_response& head() const = 0;
+  /// \returns the next bytes; an empty string is the body's proper end.
+  virtual boost::asio::awaitable<result<std::string, net_failure>> read() = 0;
+  /// Closes the connection at once; a waiting `read` ends with `cancelled`.
+  virtual void cancel() = 0;
+};
+
+/// Sends requests and keeps idle connections per endpoint, in shards each under its own lock.
+///
+/// Example:
+///     auto answer = co_await client.fetch(at, {"GET", "/load", {}, ""}, limits);
+///     if (!answer) { co_return answer.last_reason(); }
+/// Ownership: outlives its exchanges.  Thread safety: all members are thread safe.
+class http_client {
+ public:
+  /// \param idle_per_endpoint how many idle connections are kept for each endpoint.
+  [[nodiscard]] static std::unique_ptr<http_client> create(boost::asio::any_io_executor executor,
+                                                           std::size_t idle_per_endpoint);
+  virtual ~http_client() = default;
+  /// One request, whole answer.  A kept connection that proves closed before any byte of an answer
+  /// is replaced only if nothing of the request had left.
+  virtual boost::asio::awaitable<result<http_response, net_failure>> fetch(
+      endpoint to, http_request request, exchange_limits limits) = 0;
+  /// One request, streamed answer.
+  virtual boost::asio::awaitable<result<std::unique_ptr<response_stream>, net_failure>> open(
+      endpoint to, http_request request, exchange_limits limits) = 0;
+};
+
+}  // namespace hawthornnotch::net
+
+#endif  // HAWTHORNNOTCH_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/include/hawthornnotch/platform/client.h
@@ -0,0 +1,125 @@
+/// \file
+/// The platform's key-value service as the decision code sees it.
+#ifndef HAWTHORNNOTCH_PLATFORM_CLIENT_H_
+#define HAWTHORNNOTCH_PLATFORM_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/base/result.h"
+
+namespace hawthornnotch::platform {
+
+enum class failure_kind : std::uint8_t {
+  unreachable,
+  timed_out,
+  overloaded,
+  malformed_answer,
+  lease_gone,
+};
+
+/// Why a call has no answer.
+struct platform_failure {
+  failure_kind kind = failure_kind::unreachable;
+  /// True unless it is certain that the service never saw the call.
+  bool may_have_taken_effect = true;
+};
+
+struct key_value {
+  std::string key;
+  std::string value;
+  /// Store revision of the last change of this key.
+  std::int64_t mod_revision = 0;
+  std::int64_t lease = 0;
+};
+
+/// Conditions of a transaction, on one key each.
+struct must_be_absent {
+  std::string key;
+};
+struct must_be_unchanged {
+  std::string key;
+  std::int64_t mod_revision = 0;
+};
+using condition = std::variant<must_be_absent, must_be_unchanged>;
+
+/// Effects of a transaction whose conditions all hold.
+struct put {
+  std::string key;
+  std::string value;
+  /// 0: none; otherwise the key goes with the lease.
+  std::int64_t lease = 0;
+};
+struct erase {
+  std::string key;
+};
+using effect = std::variant<put, erase>;
+
+/// One compare-and-swap: all effects or none.
+struct transaction {
+  std::vector<condition> conditions;
+  std::vector<effect> effects;
+  /// Keys read back where a condition does not hold.
+  std::vector<std::string> read_on_conflict;
+};
+
+struct transaction_outcome {
+  bool applied = false;
+  std::int64_t revision = 0;
+  /// The keys of `read_on_conflict` that exist; empty when applied.
+  std::vector<key_value> current;
+};
+
+/// Result of a read of one key or of a prefix, keys in order.
+struct read_outcome {
+  std::int64_t revision = 0;
+  std::vector<key_value> found;
+};
+
+struct watch_event {
+  key_value now;
+  bool erased = false;
+};
+
+using transaction_callback = std::function<void(result<transaction_outcome, platform_failure>)>;
+using read_callback = std::function<void(result<read_outcome, platform_failure>)>;
+/// Receives the lease id.
+using lease_callback = std::function<void(result<std::int64_t, platform_failure>)>;
+/// Called with each batch of events; a failure ends the watch.
+using watch_callback = std::function<void(result<std::vector<watch_event>, platform_failure>)>;
+
+/// Ends its watch when destroyed.
+class watch_handle {
+ public:
+  virtual ~watch_handle() = default;
+};
+
+/// Asynchronous calls to the platform.  Each callback runs exactly once (a watch's: until its
+/// failure), from any thread, never inside the call itself.
+///
+/// Ownership: outlives every call.  Thread safety: all members are thread safe.
+class client {
+ public:
+  virtual ~client() = default;
+  virtual void transact(transaction what, transaction_callback done) = 0;
+  virtual void read(std::string key, read_callback done) = 0;
+  virtual void read_prefix(std::string prefix, read_callback done) = 0;
+  /// \param time_to_live rounded up to whole seconds by the service.
+  virtual void grant_lease(duration time_to_live, lease_callback done) = 0;
+  virtual void keep_alive(std::int64_t lease, lease_callback done) = 0;
+  virtual void revoke(std::int64_t lease, lease_callback done) = 0;
+  /// Events of all keys under `prefix` that changed after `revision`.
+  [[nodiscard]] virtual std::unique_ptr<watch_handle> watch(std::string prefix,
+                                                            std::int64_t revision,
+                                                            watch_callback events) = 0;
+};
+
+}  // namespace hawthornnotch::platform
+
+#endif  // HAWTHORNNOTCH_PLATFORM_CLIENT_H_
