Add checked JSON reading and HTTP over Beast

Cause: every program reads settings and speaks HTTP; both need bounds and typed failures. Change: json_reader keeps the first failure and names key, value and allowed range; http_server and http_client bound headers, body, connections and every wait; a failed exchange says whether any byte of the request may have left; a handler hears when its peer goes away; a cut stream is a failure. Ruled out: keeping idle client connections as streams bound to the strand that made them: a stream's timer would run on another strand than the exchange. Idle sockets are moved by their handle.

--- a/include/hawthornnotch/base/result.h
+++ b/include/hawthornnotch/base/result.h
@@ -27,6 +27,8 @@
 template <class T, class Reason>
 class [[nodiscard]] result {
  public:
+  /// Absent, with the reason's default; asked for by `co_spawn`.
+  result() : reason_(Reason{}) {}
   // NOLINTNEXTLINE(google-explicit-constructor): a value converts, as with std::optional.
   result(T value) : value_(std::move(value)) {}
   template <class Other>
--- a/include/hawthornnotch/net/http_client.h
+++ b/include/hawthornnotch/net/http_client.h
@@ -3,7 +3,6 @@
 #ifndef HAWTHORNNOTCH_NET_HTTP_CLIENT_H_
 #define HAWTHORNNOTCH_NET_HTTP_CLIENT_H_
 
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
 #include <memory>
@@ -47,12 +46,12 @@
 /// Example:
 ///     auto answer = co_await client.fetch(at, {"GET", "/load", {}, ""}, limits);
 ///     if (!answer) { co_return answer.last_reason(); }
-/// Ownership: outlives its exchanges.  Thread safety: all members are thread safe.
+/// Ownership: outlives its exchanges.  Thread safety: all members are thread safe; an exchange runs
+/// on the executor of the coroutine that awaits it, which is a strand where several threads run.
 class http_client {
  public:
   /// \param idle_per_endpoint how many idle connections are kept for each endpoint.
-  [[nodiscard]] static std::unique_ptr<http_client> create(boost::asio::any_io_executor executor,
-                                                           std::size_t idle_per_endpoint);
+  [[nodiscard]] static std::unique_ptr<http_client> create(std::size_t idle_per_endpoint);
   virtual ~http_client() = default;
   /// One request, whole answer.  A kept connection that proves closed before any byte of an answer
   /// is replaced only if nothing of the request had left.
--- /dev/null
+++ b/src/net/beast_support.cpp
@@ -0,0 +1,31 @@
+#include "beast_support.h"
+
+namespace hawthornnotch::net::internal {
+
+namespace {
+
+bool is_too_large(const error_code& error) {
+  return error == http::error::body_limit || error == http::error::header_limit ||
+         error == http::error::buffer_overflow;
+}
+
+}  // namespace
+
+net_failure_kind kind_of(const error_code& error) {
+  if (error == beast::error::timeout) {
+    return net_failure_kind::timed_out;
+  }
+  if (error == asio::error::operation_aborted) {
+    return net_failure_kind::cancelled;
+  }
+  if (is_too_large(error)) {
+    return net_failure_kind::too_large;
+  }
+  const bool ended = error == http::error::end_of_stream || error == http::error::partial_message;
+  if (!ended && error.category() == http::make_error_code(http::error::bad_method).category()) {
+    return net_failure_kind::malformed;
+  }
+  return net_failure_kind::closed;
+}
+
+}  // namespace hawthornnotch::net::internal
--- /dev/null
+++ b/src/net/connection_pool.cpp
@@ -0,0 +1,63 @@
+#include "connection_pool.h"
+
+namespace hawthornnotch::net::internal {
+
+namespace {
+
+// An idle connection with anything to read is closed or out of step with its peer.
+bool is_quiet(tcp::socket& socket) {
+  char byte = 0;
+  error_code error;
+  socket.non_blocking(true, error);
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+// A socket stays bound to the strand it was made on, so it is made anew from its handle.
+std::optional<tcp::socket> move_to(tcp::socket idle, const asio::any_io_executor& executor) {
+  error_code error;
+  const auto protocol = idle.local_endpoint(error).protocol();
+  if (error) {
+    return std::nullopt;
+  }
+  const auto handle = idle.release(error);
+  if (error) {
+    return std::nullopt;
+  }
+  return tcp::socket(executor, protocol, handle);
+}
+
+}  // namespace
+
+std::optional<tcp::socket> connection_pool::take_any(const endpoint& to) {
+  shard& home = shard_of(to);
+  const std::lock_guard lock(home.mutex);
+  const auto found = home.idle.find(to);
+  if (found == home.idle.end() || found->second.empty()) {
+    return std::nullopt;
+  }
+  tcp::socket idle = std::move(found->second.back());
+  found->second.pop_back();
+  return idle;
+}
+
+std::optional<tcp::socket> connection_pool::take(const endpoint& to,
+                                                 const asio::any_io_executor& executor) {
+  while (auto idle = take_any(to)) {
+    if (is_quiet(*idle)) {
+      return move_to(std::move(*idle), executor);
+    }
+  }
+  return std::nullopt;
+}
+
+void connection_pool::put(const endpoint& to, tcp::socket idle) {
+  shard& home = shard_of(to);
+  const std::lock_guard lock(home.mutex);
+  idle_list& kept = home.idle[to];
+  if (kept.size() < idle_per_endpoint_) {
+    kept.push_back(std::move(idle));
+  }
+}
+
+}  // namespace hawthornnotch::net::internal
--- /dev/null
+++ b/src/net/http_connection.h
@@ -0,0 +1,27 @@
+// One accepted connection of an http_server.
+#ifndef HAWTHORNNOTCH_SRC_NET_HTTP_CONNECTION_H_
+#define HAWTHORNNOTCH_SRC_NET_HTTP_CONNECTION_H_
+
+#include <atomic>
+#include <memory>
+
+#include "beast_support.h"
+#include "hawthornnotch/net/http_server.h"
+
+namespace hawthornnotch::net::internal {
+
+// What all connections of one server share.
+struct server_state {
+  server_limits limits;
+  request_handler handler;
+  std::atomic<bool> closing{false};
+  std::atomic<std::size_t> connections{0};
+  std::atomic<std::size_t> requests{0};
+};
+
+// Serves requests on the socket's strand until either side closes.
+void serve_connection(tcp::socket socket, std::shared_ptr<server_state> shared);
+
+}  // namespace hawthornnotch::net::internal
+
+#endif  // HAWTHORNNOTCH_SRC_NET_HTTP_CONNECTION_H_
--- /dev/null
+++ b/tests/net/http_test.cpp
@@ -0,0 +1,185 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <thread>
+
+#include "hawthornnotch/net/http_client.h"
+#include "hawthornnotch/net/http_server.h"
+#include "test_case.h"
+
+namespace hawthornnotch::net {
+namespace {
+
+namespace asio = boost::asio;
+
+// Two threads that run one io_context for the length of a test.
+class running_context {
+ public:
+  running_context() : work_(asio::make_work_guard(context_)) {
+    for (auto& thread : threads_) {
+      thread = std::thread([this] { context_.run(); });
+    }
+  }
+  ~running_context() {
+    work_.reset();
+    context_.stop();
+    for (auto& thread : threads_) {
+      thread.join();
+    }
+  }
+  running_context(const running_context&) = delete;
+  running_context& operator=(const running_context&) = delete;
+
+  template <class Result>
+  Result await(asio::awaitable<Result> what) {
+    return asio::co_spawn(asio::make_strand(context_), std::move(what), asio::use_future).get();
+  }
+  asio::any_io_executor executor() { return context_.get_executor(); }
+
+ private:
+  asio::io_context context_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  std::thread threads_[2];
+};
+
+std::unique_ptr<http_server> serve(running_context& running, server_limits limits,
+                                   request_handler handler) {
+  auto server = http_server::listen(running.executor(), {"127.0.0.1", 0}, limits, handler);
+  CPPUNIT_ASSERT(server.has_value());
+  return std::move(*server);
+}
+
+asio::awaitable<void> echo(http_request request, response_writer& writer) {
+  http_response response;
+  response.headers.emplace_back("x-target", request.target);
+  response.body = request.body;
+  co_await writer.send(std::move(response));
+}
+
+asio::awaitable<void> stream_three(http_request /*request*/, response_writer& writer) {
+  header_list headers;
+  headers.emplace_back("Content-Type", "text/event-stream");
+  co_await writer.start(200, std::move(headers));
+  for (const char* piece : {"one ", "two ", "three"}) {
+    co_await writer.write(piece);
+  }
+  co_await writer.finish();
+}
+
+asio::awaitable<void> cut_after_one(http_request /*request*/, response_writer& writer) {
+  co_await writer.start(200, {});
+  co_await writer.write("one ");
+  writer.abort();
+}
+
+http_request post(std::string body) { return {"POST", "/path", {}, std::move(body)}; }
+
+TEST_THAT(http, answers_many_requests_over_one_kept_connection) {
+  running_context running;
+  auto server = serve(running, {}, echo);
+  auto client = http_client::create(4);
+  for (int number = 0; number < 20; ++number) {
+    const std::string body = "body " + std::to_string(number);
+    auto answer = running.await(client->fetch({"127.0.0.1", server->port()}, post(body), {}));
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(body, answer->body);
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server->open_connections());
+}
+
+TEST_THAT(http, gives_a_streamed_answer_whole) {
+  running_context running;
+  auto server = serve(running, {}, stream_three);
+  auto client = http_client::create(4);
+  auto answer = running.await(client->fetch({"127.0.0.1", server->port()}, post(""), {}));
+  CPPUNIT_ASSERT(answer.has_value());
+  CPPUNIT_ASSERT_EQUAL(std::string("one two three"), answer->body);
+}
+
+TEST_THAT(http, never_takes_a_cut_stream_for_a_whole_one) {
+  running_context running;
+  auto server = serve(running, {}, cut_after_one);
+  auto client = http_client::create(4);
+  auto answer = running.await(client->fetch({"127.0.0.1", server->port()}, post(""), {}));
+  CPPUNIT_ASSERT(!answer.has_value());
+  CPPUNIT_ASSERT(answer.last_reason().request_may_have_left);
+}
+
+TEST_THAT(http, says_that_nothing_left_when_nobody_listens) {
+  running_context running;
+  const std::uint16_t free_port = serve(running, {}, echo)->port();
+  auto client = http_client::create(4);
+  result<http_response, net_failure> answer =
+      running.await(client->fetch({"127.0.0.1", free_port}, post(""), {}));
+  while (answer.has_value()) {
+    answer = running.await(client->fetch({"127.0.0.1", free_port}, post(""), {}));
+  }
+  if (answer.last_reason().kind == net_failure_kind::connect) {
+    CPPUNIT_ASSERT(!answer.last_reason().request_may_have_left);
+  }
+}
+
+TEST_THAT(http, refuses_a_body_over_the_limit_with_413) {
+  running_context running;
+  server_limits limits;
+  limits.body_bytes = 1000;
+  auto server = serve(running, limits, echo);
+  auto client = http_client::create(4);
+  auto answer =
+      running.await(client->fetch({"127.0.0.1", server->port()}, post(std::string(1001, 'x')), {}));
+  CPPUNIT_ASSERT(answer.has_value());
+  CPPUNIT_ASSERT_EQUAL(413U, answer->status);
+}
+
+TEST_THAT(http, answers_rubbish_with_400_and_closes) {
+  running_context running;
+  auto server = serve(running, {}, echo);
+  asio::io_context own;
+  asio::ip::tcp::socket socket(own);
+  socket.connect({asio::ip::make_address("127.0.0.1"), server->port()});
+  asio::write(socket, asio::buffer(std::string("\x01\x02 rubbish\r\n\r\n")));
+  std::string answer;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 400"), answer.substr(0, 12));
+}
+
+// Streams until the peer has gone, then says so.
+struct endless_stream {
+  std::promise<void>& seen;
+  asio::awaitable<void> operator()(http_request /*request*/, response_writer& writer) const {
+    auto gone = std::make_shared<bool>(false);
+    writer.on_peer_gone([gone] { *gone = true; });
+    co_await writer.start(200, {});
+    asio::steady_timer pause(co_await asio::this_coro::executor);
+    while (!*gone) {
+      pause.expires_after(std::chrono::milliseconds(1));
+      co_await pause.async_wait(asio::use_awaitable);
+    }
+    seen.set_value();
+  }
+};
+
+asio::awaitable<void> open_and_leave(http_client& client, endpoint to) {
+  auto stream = co_await client.open(to, post(""), {});
+  CPPUNIT_ASSERT(stream.has_value());
+  (*stream)->cancel();
+}
+
+TEST_THAT(http, tells_the_handler_that_its_peer_has_gone) {
+  running_context running;
+  std::promise<void> seen;
+  auto server = serve(running, {}, endless_stream{seen});
+  auto client = http_client::create(4);
+  running.await(open_and_leave(*client, {"127.0.0.1", server->port()}));
+  seen.get_future().get();
+}
+
+}  // namespace
+}  // namespace hawthornnotch::net
