Compare fleet values by equality and one order of endpoints

Cause: clang-tidy 14 reports modernize-use-nullptr on a defaulted three-way comparison of a struct. Ruled out: dropping the check (it stays); gcc's own null pointer warning (it fires on coroutines).

--- a/include/hawthornnotch/member/fleet.h
+++ b/include/hawthornnotch/member/fleet.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "hawthornnotch/base/clock.h"
@@ -16,7 +17,10 @@
 struct endpoint {
   std::string address;
   std::uint16_t port = 0;
-  auto operator<=>(const endpoint&) const = default;
+  bool operator==(const endpoint&) const = default;
+  bool operator<(const endpoint& other) const {
+    return std::tie(address, port) < std::tie(other.address, other.port);
+  }
 };
 
 enum class backend_kind : std::uint8_t { engine, service };
@@ -37,7 +41,7 @@
   bool leaving = false;
   /// True if the server refuses an order with an old fencing number.
   bool checks_fencing = false;
-  auto operator<=>(const backend_server&) const = default;
+  bool operator==(const backend_server&) const = default;
 };
 
 /// The newest load report of a backend server.
@@ -47,7 +51,7 @@
   std::uint32_t waiting = 0;
   /// When the server measured it, by this process's monotonic clock.
   time_point measured;
-  auto operator<=>(const load_report&) const = default;
+  bool operator==(const load_report&) const = default;
 };
 
 /// One entry VM: its agent and its router.
@@ -58,7 +62,7 @@
   endpoint agent;
   endpoint router;
   bool leaving = false;
-  auto operator<=>(const entry_vm&) const = default;
+  bool operator==(const entry_vm&) const = default;
 };
 
 /// Requests waiting at one peer router, by tier.
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <optional>
+#include <tuple>
 
 namespace hawthornnotch::net::internal {
 
@@ -238,7 +239,7 @@
     response.status = code;
     response.headers.emplace_back("Content-Type", "application/json");
     response.body = unreadable_request;
-    co_await send(std::move(response));
+    std::ignore = co_await send(std::move(response));
   }
 
   beast::tcp_stream stream_;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <thread>
+#include <tuple>
 
 #include "hawthornnotch/net/http_client.h"
 #include "hawthornnotch/net/http_server.h"
@@ -59,22 +60,22 @@
   http_response response;
   response.headers.emplace_back("x-target", request.target);
   response.body = request.body;
-  co_await writer.send(std::move(response));
+  std::ignore = co_await writer.send(std::move(response));
 }
 
 asio::awaitable<void> stream_three(http_request /*request*/, response_writer& writer) {
   header_list headers;
   headers.emplace_back("Content-Type", "text/event-stream");
-  co_await writer.start(200, std::move(headers));
+  std::ignore = co_await writer.start(200, std::move(headers));
   for (const char* piece : {"one ", "two ", "three"}) {
-    co_await writer.write(piece);
+    std::ignore = co_await writer.write(piece);
   }
-  co_await writer.finish();
+  std::ignore = co_await writer.finish();
 }
 
 asio::awaitable<void> cut_after_one(http_request /*request*/, response_writer& writer) {
-  co_await writer.start(200, {});
-  co_await writer.write("one ");
+  std::ignore = co_await writer.start(200, {});
+  std::ignore = co_await writer.write("one ");
   writer.abort();
 }
 
@@ -156,7 +157,7 @@
   asio::awaitable<void> operator()(http_request /*request*/, response_writer& writer) const {
     auto gone = std::make_shared<bool>(false);
     writer.on_peer_gone([gone] { *gone = true; });
-    co_await writer.start(200, {});
+    std::ignore = co_await writer.start(200, {});
     asio::steady_timer pause(co_await asio::this_coro::executor);
     while (!*gone) {
       pause.expires_after(std::chrono::milliseconds(1));
