Add the scheduler: tiers, learned speeds, windows, retries, preemption

The router needs one place that decides which request runs where and when. The queue is strict by tier with earliest deadline first inside a tier; a tier that waits has a least share of the dispatched work and a longest gap. Backend servers are chosen among few that seem to have room, kept in open lists by tier so that no choice scans all replicas. One lock over all state was ruled out: models share servers and workspaces, so those have locks of their own and the queues are in shards by model.

round_robin and least_outstanding stand beside it as baselines, chosen by a variant in the settings. No measurement yet; seven tests on a stepped clock pass.

--- /dev/null
+++ b/include/hawthornnotch/policy/ejection.h
@@ -0,0 +1,44 @@
+/// \file
+/// Keeping work away from slow and failing backend servers.
+#ifndef HAWTHORNNOTCH_POLICY_EJECTION_H_
+#define HAWTHORNNOTCH_POLICY_EJECTION_H_
+
+#include <cstdint>
+#include <limits>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/policy/settings.h"
+
+namespace hawthornnotch::policy {
+
+/// Caps a server's requests after failures or a slowdown, and probes it again.
+///
+/// After failures in a row the cap is 0 for a time that doubles with each further ejection, then 1
+/// until one answer succeeds.  A slowed server keeps a quarter of its slots.
+/// Example: `ejection.on_failure(now); if (ejection.cap(8, now) == 0) { ... }`
+/// Ownership: a value.  Thread safety: none; `server_state` protects it.
+class ejection {
+ public:
+  static constexpr std::uint32_t no_cap = std::numeric_limits<std::uint32_t>::max();
+
+  explicit ejection(const ejection_settings& settings) : settings_(settings) {}
+  void on_failure(time_point now);
+  void on_success();
+  /// \param slowdown present time for each token over the norm.
+  void on_speed(double slowdown);
+  /// \param slots requests that the server runs side by side.
+  /// \returns requests allowed at once; `no_cap` for a healthy server.
+  [[nodiscard]] std::uint32_t cap(std::uint32_t slots, time_point now) const;
+
+ private:
+  ejection_settings settings_;
+  std::uint32_t failures_in_row_ = 0;
+  duration next_time_{0};
+  time_point until_;
+  bool out_ = false;
+  bool slow_ = false;
+};
+
+}  // namespace hawthornnotch::policy
+
+#endif  // HAWTHORNNOTCH_POLICY_EJECTION_H_
--- /dev/null
+++ b/include/hawthornnotch/policy/server_registry.h
@@ -0,0 +1,72 @@
+/// \file
+/// All backend servers of the fleet, kept over snapshots.
+#ifndef HAWTHORNNOTCH_POLICY_SERVER_REGISTRY_H_
+#define HAWTHORNNOTCH_POLICY_SERVER_REGISTRY_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hawthornnotch/member/fleet.h"
+#include "hawthornnotch/policy/server_state.h"
+#include "hawthornnotch/policy/subset.h"
+#include "hawthornnotch/policy/workspace_state.h"
+
+namespace hawthornnotch::policy {
+
+/// One model's servers at this router.
+struct service_servers {
+  std::vector<std::shared_ptr<server_state>> servers;
+  sharing shared;
+};
+
+/// Keeps one `server_state` for each incarnation, so that what was learned, and that a server is
+/// leaving, outlasts snapshots.
+///
+/// Example: `registry.apply(fleet, own_vm, now); auto part = registry.servers_of("llama", now);`
+/// Ownership: shares the states.  Thread safety: none; the scheduler's fleet lock protects it.
+class server_registry {
+ public:
+  explicit server_registry(const scheduler_settings& settings) : settings_(settings) {}
+  /// \returns whether servers or routers differ from the snapshot before.
+  bool apply(const fleet_snapshot& fleet, std::string_view own_vm, time_point now);
+  /// \returns whether any server that takes work serves it.
+  [[nodiscard]] bool knows(std::string_view serves) const {
+    return by_service_.find(serves) != by_service_.end();
+  }
+  /// \returns this router's part of the servers of a model or service.
+  [[nodiscard]] service_servers servers_of(std::string_view serves) const;
+  /// \returns what peers share, for a model used by `routers` at each server.
+  [[nodiscard]] sharing shared_by(std::uint32_t routers) const;
+  /// \returns this router's part of workspace limits.
+  [[nodiscard]] limit_share limits() const;
+  [[nodiscard]] std::vector<server_view> view(time_point now) const;
+
+ private:
+  struct known_server {
+    std::shared_ptr<server_state> state;
+    time_point last_listed;
+  };
+  using prior_table = std::map<std::string, server_speed>;
+  void take_servers(const std::vector<backend_server>& listed, time_point now);
+  void forget_absent(time_point now);
+  [[nodiscard]] static std::string kind_of(const backend_server& facts);
+  // Mean speed of the known servers of each kind: what a new one is expected to have.
+  [[nodiscard]] prior_table learn_priors() const;
+  void count_peers(const fleet_snapshot& fleet);
+
+  const scheduler_settings& settings_;
+  std::string own_vm_;
+  std::map<std::string, known_server, std::less<>> servers_;
+  std::map<std::string, std::vector<std::string>, std::less<>> by_service_;
+  std::vector<std::string> routers_;
+  std::vector<backend_server> last_servers_;
+  sharing shared_;
+  std::uint32_t idle_peers_ = 0;
+};
+
+}  // namespace hawthornnotch::policy
+
+#endif  // HAWTHORNNOTCH_POLICY_SERVER_REGISTRY_H_
--- /dev/null
+++ b/src/policy/server_state.cpp
@@ -0,0 +1,138 @@
+#include "hawthornnotch/policy/server_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "hawthornnotch/base/hash.h"
+
+namespace hawthornnotch::policy {
+
+namespace {
+// How long one router keeps its turn on a spare slot that several could take.
+constexpr std::int64_t spare_turn_ms = 250;
+}  // namespace
+
+server_state::server_state(const backend_server& facts, const scheduler_settings& settings,
+                           server_speed prior)
+    : facts_(facts),
+      settings_(settings.window),
+      seed_(stable_hash(facts.id)),
+      leaving_(facts.leaving),
+      speed_(prior),
+      load_(settings.window.report_half_life),
+      window_(settings.window, facts.slots),
+      ejection_(settings.ejection) {}
+
+server_offer server_state::offer(const sharing& shared, bool honour_cap, time_point now) const {
+  server_offer offer;
+  const std::lock_guard lock(mutex_);
+  const std::uint32_t cap = ejection_.cap(facts_.slots, now);
+  offer.capped = cap != ejection::no_cap;
+  offer.in_flight = in_flight_;
+  offer.others = load_.others(now);
+  const server_speed speed = speed_.present();
+  offer.first_token_ms = speed.first_token_ms;
+  offer.per_token_ms = speed.per_token_ms;
+  const bool shut = leaving_ || (honour_cap && in_flight_ >= cap);
+  for (int index = 0; index < tier_count && !shut; ++index) {
+    offer.room.at(index) = in_flight_ + 1.0 <= limit(shared, static_cast<tier>(index), now);
+  }
+  return offer;
+}
+
+double server_state::limit(const sharing& shared, tier service_tier, time_point now) const {
+  const double open = window_.size() * settings_.open_to_tier.at(service_tier);
+  const bool yields = shared.peers_wait_higher.at(service_tier);
+  const double least = service_tier <= 1 ? 1.0 : 0.0;
+  const double share = std::max(least, std::floor(open / shared.routers));
+  const double spare = open - in_flight_ - load_.others(now);
+  if (yields || spare < 1.0) {
+    return share;
+  }
+  const double part = spare / shared.contenders.at(service_tier);
+  const double mine = part >= 1.0 || part > draw(shared, now) ? std::max(1.0, part) : 0.0;
+  return std::max(share, in_flight_ + mine);
+}
+
+double server_state::draw(const sharing& shared, time_point now) const {
+  const auto turn = static_cast<std::uint64_t>(now.ms / spare_turn_ms);
+  std::uint64_t mixed = seed_ ^ (shared.router_seed + turn * 0x9E3779B97F4A7C15ULL);
+  mixed ^= mixed >> 31U;
+  mixed *= 0xBF58476D1CE4E5B9ULL;
+  mixed ^= mixed >> 29U;
+  return static_cast<double>(mixed >> 11U) * 0x1.0p-53;
+}
+
+std::uint32_t server_state::in_flight() const {
+  const std::lock_guard lock(mutex_);
+  return in_flight_;
+}
+
+void server_state::begin(time_point now) {
+  const std::lock_guard lock(mutex_);
+  ++in_flight_;
+  load_.on_own(in_flight_, now);
+}
+
+void server_state::end(time_point now) {
+  const std::lock_guard lock(mutex_);
+  --in_flight_;
+  load_.on_own(in_flight_, now);
+}
+
+void server_state::on_first_token(duration waited, std::optional<duration> target, time_point now) {
+  const std::lock_guard lock(mutex_);
+  speed_.on_first_token(waited, now);
+  if (target) {
+    const double allowed = settings_.first_token_part * static_cast<double>(target->ms);
+    window_.on_first_token(static_cast<double>(waited.ms) <= allowed, now);
+  }
+}
+
+void server_state::on_tokens(std::uint32_t count, duration span, time_point now) {
+  const std::lock_guard lock(mutex_);
+  speed_.on_tokens(count, span, now);
+  ejection_.on_speed(speed_.slowdown());
+}
+
+void server_state::on_success() {
+  const std::lock_guard lock(mutex_);
+  ejection_.on_success();
+}
+
+void server_state::on_failure(time_point now) {
+  const std::lock_guard lock(mutex_);
+  ejection_.on_failure(now);
+}
+
+void server_state::on_busy(time_point now) {
+  const std::lock_guard lock(mutex_);
+  window_.on_busy(now);
+}
+
+void server_state::on_report(const load_report& report) {
+  const std::lock_guard lock(mutex_);
+  load_.on_report(report.running + report.waiting, report.measured);
+}
+
+server_speed server_state::speed() const {
+  const std::lock_guard lock(mutex_);
+  return speed_.present();
+}
+
+server_view server_state::view(time_point now) const {
+  server_view view;
+  const std::lock_guard lock(mutex_);
+  view.id = facts_.id;
+  view.incarnation = facts_.incarnation;
+  view.in_flight = in_flight_;
+  view.others = load_.others(now);
+  view.window = window_.size();
+  view.first_token_ms = speed_.present().first_token_ms;
+  view.per_token_ms = speed_.present().per_token_ms;
+  view.ejected = ejection_.cap(facts_.slots, now) != ejection::no_cap;
+  view.leaving = leaving_;
+  return view;
+}
+
+}  // namespace hawthornnotch::policy
--- /dev/null
+++ b/tests/policy/scheduler_test.cpp
@@ -0,0 +1,88 @@
+#include "hawthornnotch/policy/scheduler.h"
+
+#include "policy_case.h"
+#include "test_case.h"
+
+namespace hawthornnotch::policy {
+namespace {
+
+using namespace literals;
+
+TEST_THAT(scheduler, assigns_a_request_to_a_server_that_serves_its_model) {
+  policy_case fixture({});
+  fixture.apply_servers(3);
+  const ticket asked = fixture.submit(0);
+  const auto decisions = fixture.decides().take_decisions();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+  const auto& sent = std::get<assigned>(decisions.front());
+  CPPUNIT_ASSERT_EQUAL(asked, sent.request);
+  CPPUNIT_ASSERT_EQUAL(1U, sent.attempt);
+}
+
+TEST_THAT(scheduler, refuses_at_once_what_no_server_serves) {
+  policy_case fixture({});
+  fixture.apply_servers(0);
+  fixture.submit(0);
+  const auto decisions = fixture.decides().take_decisions();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+  CPPUNIT_ASSERT(std::get<refused>(decisions.front()).why == refusal::no_backend_server);
+}
+
+TEST_THAT(scheduler, gives_a_non_idempotent_request_no_second_try_once_bytes_left) {
+  policy_case fixture({});
+  fixture.apply_servers(3);
+  request_profile order = fixture.profile(0);
+  order.traffic_class.idempotent = false;
+  const ticket asked = fixture.decides().submit(order);
+  fixture.decides().take_decisions();
+  CPPUNIT_ASSERT(fixture.decides().retry(asked, 1, attempt_end::connect_failed));
+  const auto again = fixture.decides().take_decisions();
+  CPPUNIT_ASSERT_EQUAL(2U, std::get<assigned>(again.at(0)).attempt);
+  CPPUNIT_ASSERT(!fixture.decides().retry(asked, 2, attempt_end::server_busy));
+}
+
+TEST_THAT(scheduler, prefers_another_server_for_a_second_try) {
+  policy_case fixture({});
+  fixture.apply_servers(2);
+  const ticket asked = fixture.submit(0);
+  const auto first = fixture.decides().take_decisions();
+  CPPUNIT_ASSERT(fixture.decides().retry(asked, 1, attempt_end::stream_failed));
+  const auto second = fixture.decides().take_decisions();
+  CPPUNIT_ASSERT(std::get<assigned>(first.at(0)).backend_server !=
+                 std::get<assigned>(second.at(0)).backend_server);
+}
+
+TEST_THAT(scheduler, sends_nothing_to_a_leaving_server_though_a_later_snapshot_forgets_it) {
+  policy_case fixture({});
+  fixture.apply_servers(1, true);
+  fixture.submit(0);
+  CPPUNIT_ASSERT(std::holds_alternative<refused>(fixture.decides().take_decisions().at(0)));
+  fixture.apply_servers(1, false);
+  fixture.submit(0);
+  CPPUNIT_ASSERT(std::holds_alternative<refused>(fixture.decides().take_decisions().at(0)));
+}
+
+TEST_THAT(scheduler, explains_a_request_after_its_end) {
+  policy_case fixture({});
+  fixture.apply_servers(1);
+  const ticket asked = fixture.submit(0);
+  fixture.decides().take_decisions();
+  fixture.decides().on_finished(asked, 1, attempt_end::completed);
+  const auto notes = fixture.decides().explain(asked);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, notes.size());
+  CPPUNIT_ASSERT(notes.at(0).what == note_kind::queued);
+  CPPUNIT_ASSERT(notes.at(1).what == note_kind::assigned);
+  CPPUNIT_ASSERT(notes.at(2).what == note_kind::finished);
+}
+
+TEST_THAT(scheduler, rejects_settings_out_of_range) {
+  stepped_clock time;
+  scheduler_settings settings;
+  settings.shards = 0;
+  const auto made = scheduler::create(settings, time, 1);
+  CPPUNIT_ASSERT(!made);
+  CPPUNIT_ASSERT(made.last_reason() == scheduler_failure::shards_out_of_range);
+}
+
+}  // namespace
+}  // namespace hawthornnotch::policy
