Add policy_lab: schedulers over fake engines on a stepped clock

The policy can only be tuned on runs that repeat. Goodput is the work of completed answers in the burst over the engines' capacity in it; wasted is work that no caller used.

--- /dev/null
+++ b/bench/policy_lab/experiment.h
@@ -0,0 +1,65 @@
+/// \file
+/// One run: several routers' schedulers over fake engines on a stepped clock.
+#ifndef HAWTHORNNOTCH_BENCH_POLICY_LAB_EXPERIMENT_H_
+#define HAWTHORNNOTCH_BENCH_POLICY_LAB_EXPERIMENT_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "hawthornnotch/policy/settings.h"
+#include "load_shape.h"
+
+namespace hawthornnotch::lab {
+
+/// What happens in a run.
+struct experiment_plan {
+  load_shape shape;
+  policy::scheduler_settings settings;
+  std::uint64_t seed = 1;
+  int routers = 6;
+  int engines = 20;
+  /// One engine slows fivefold, one crashes and recovers, load reports lag by 4 s in the burst.
+  bool faults = false;
+  /// All of tier 0 arrives at one router and all other traffic at the rest.
+  bool skewed = false;
+  /// Factor on all offered work.
+  double load = 1.0;
+};
+
+/// What callers of one class got.
+struct class_result {
+  std::string name;
+  int tier = 0;
+  std::uint64_t sent = 0;
+  std::uint64_t in_target = 0;
+  std::uint64_t late = 0;
+  std::uint64_t shed = 0;
+  std::uint64_t gone = 0;
+  std::uint64_t failed = 0;
+  /// Longest time to the first token of an answered request, milliseconds.
+  std::int64_t longest_wait_ms = 0;
+  /// Why requests were late: first token, between tokens, completion.
+  std::uint64_t late_first = 0;
+  std::uint64_t late_between = 0;
+};
+
+/// Totals of a run.
+struct experiment_result {
+  std::vector<class_result> classes;
+  double useful_tokens_per_s = 0;
+  /// Same measure in the burst only, over the engines' capacity for the mix.
+  double goodput_part = 0;
+  /// Slot time spent on what no caller used, over all slot time.
+  double wasted_part = 0;
+  double busy_part = 0;
+  std::uint64_t preempted = 0;
+  std::uint64_t retried = 0;
+};
+
+experiment_result run_experiment(const experiment_plan& plan);
+
+}  // namespace hawthornnotch::lab
+
+#endif  // HAWTHORNNOTCH_BENCH_POLICY_LAB_EXPERIMENT_H_
