--- a/include/hawthornnotch/claim/claim_service.h
+++ b/include/hawthornnotch/claim/claim_service.h
@@ -87,6 +87,8 @@
   std::size_t commits_in_flight = 2;
   /// Longer answers are recorded without their body, bytes.
   std::size_t recorded_body_limit = 65'536;
+  /// Bound of all answers that wait to be stored, bytes; beyond it they are stored without body.
+  std::size_t waiting_body_limit = 4'194'304;
 };
 
 enum class claim_failure : std::uint8_t { empty_incarnation, settings_out_of_range };
--- /dev/null
+++ b/src/claim/claim_service.cpp
@@ -0,0 +1,63 @@
+#include "hawthornnotch/claim/claim_service.h"
+
+#include <utility>
+
+#include "engine.h"
+
+namespace hawthornnotch::claim {
+
+namespace {
+
+bool in_range(const claim_settings& settings) {
+  const bool times = settings.claim_timeout.ms > 0 && settings.retry_pause.ms > 0 &&
+                     settings.outage_pause.ms >= 0 && settings.record_timeout.ms > 0 &&
+                     settings.in_progress_limit.ms >= 0 && settings.retention.ms > 0;
+  const bool sizes =
+      settings.live_claims > 0 && settings.writes_per_commit > 0 && settings.commits_in_flight > 0;
+  return times && sizes;
+}
+
+}  // namespace
+
+result<std::unique_ptr<claim_service>, claim_failure> claim_service::create(
+    claim_settings settings, platform::client& platform, const clock& time,
+    std::string incarnation) {
+  if (incarnation.empty()) {
+    return failed{claim_failure::empty_incarnation};
+  }
+  if (!in_range(settings)) {
+    return failed{claim_failure::settings_out_of_range};
+  }
+  auto held = std::make_shared<engine>(settings, platform, time, std::move(incarnation));
+  return std::unique_ptr<claim_service>(new claim_service(std::move(held)));
+}
+
+claim_service::claim_service(std::shared_ptr<engine> held) : engine_(std::move(held)) {}
+
+claim_service::~claim_service() = default;
+
+void claim_service::claim(claim_request request, verdict_callback done) {
+  engine_->claim(std::move(request), std::move(done));
+}
+
+bool claim_service::begin_dispatch(const claim_token& token) {
+  return engine_->begin_dispatch(token);
+}
+
+void claim_service::record(const claim_token& token, recorded answer, stored_callback done) {
+  engine_->record(token, std::move(answer), std::move(done));
+}
+
+void claim_service::record_unknown(const claim_token& token) { engine_->record_unknown(token); }
+
+void claim_service::release_unsent(const claim_token& token, stored_callback done) {
+  engine_->release_unsent(token, std::move(done));
+}
+
+void claim_service::stop() { engine_->stop(); }
+
+void claim_service::tick() { engine_->tick(); }
+
+claim_view claim_service::view() const { return engine_->view(); }
+
+}  // namespace hawthornnotch::claim
