--- /dev/null
+++ b/tests/support/stepped_platform.h
@@ -0,0 +1,354 @@
+// The platform's key-value service in memory, on a stepped clock, with faults per call.
+#ifndef HAWTHORNNOTCH_TESTS_SUPPORT_STEPPED_PLATFORM_H_
+#define HAWTHORNNOTCH_TESTS_SUPPORT_STEPPED_PLATFORM_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/platform/client.h"
+
+namespace hawthornnotch::test {
+
+enum class call_fault : std::uint8_t {
+  none,
+  // Never arrives; the client times out.
+  request_lost,
+  // Takes effect; the client times out.
+  answer_lost,
+  // Takes effect; the connection breaks, the client says unreachable.
+  reset_after_effect,
+  // The client times out; the call takes effect much later.
+  delayed,
+  // Takes effect at once and again much later.
+  doubled,
+  // Overtaken by later calls, but answered in time.
+  reordered,
+  // Answered just before the client's timeout.
+  slow,
+  // Connection refused: certainly no effect.
+  refused,
+};
+
+enum class call_kind : std::uint8_t { transact, read, watch, lease };
+
+struct call_info {
+  call_kind kind = call_kind::read;
+  // First key of the call.
+  std::string key;
+};
+
+// Runs events in time order on a stepped clock.
+class event_queue {
+ public:
+  explicit event_queue(const stepped_clock& time) : time_(time) {}
+  void after(duration wait, std::function<void()> what) {
+    events_.emplace((time_.now() + wait).ms, std::move(what));
+  }
+  void run_due() {
+    while (!events_.empty() && events_.begin()->first <= time_.now().ms) {
+      const auto what = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      what();
+    }
+  }
+
+ private:
+  const stepped_clock& time_;
+  std::multimap<std::int64_t, std::function<void()>> events_;
+};
+
+class stepped_platform {
+ public:
+  static constexpr duration one_way{5};
+  static constexpr duration client_timeout{300};
+  static constexpr duration long_delay{4'000};
+
+  explicit stepped_platform(const stepped_clock& time) : events_(time) {}
+
+  // One process's connection.
+  class port final : public platform::client {
+   public:
+    explicit port(stepped_platform& store) : store_(store) {}
+
+    // Chooses the fault of each call; empty: none.
+    std::function<call_fault(const call_info&)> fault;
+    // No answer arrives and no callback runs any more; what was sent still takes effect.
+    void kill() { *alive_ = false; }
+    // Ends all watches of this port with a failure.
+    void break_watches() {
+      auto broken = std::exchange(watchers_, {});
+      for (const auto& one : broken) {
+        deliver(duration{0}, [one] {
+          if (one->active) {
+            one->active = false;
+            one->events(failed{platform::platform_failure{}});
+          }
+        });
+      }
+    }
+
+    void transact(platform::transaction what, platform::transaction_callback done) override {
+      const std::string key = what.effects.empty() ? "" : key_of(what.effects.front());
+      call<platform::transaction_outcome>(
+          {call_kind::transact, key}, [this, what] { return store_.apply(what); }, std::move(done));
+    }
+    void read(std::string key, platform::read_callback done) override {
+      call<platform::read_outcome>(
+          {call_kind::read, key}, [this, key] { return store_.find(key); }, std::move(done));
+    }
+    void read_prefix(std::string prefix, platform::read_callback done) override {
+      call<platform::read_outcome>(
+          {call_kind::read, prefix}, [this, prefix] { return store_.find_prefix(prefix); },
+          std::move(done));
+    }
+    void grant_lease(duration /*time_to_live*/, platform::lease_callback done) override {
+      call<std::int64_t>(
+          {call_kind::lease, ""}, [this] { return ++store_.last_lease_; }, std::move(done));
+    }
+    void keep_alive(std::int64_t lease, platform::lease_callback done) override {
+      call<std::int64_t>(
+          {call_kind::lease, ""}, [lease] { return lease; }, std::move(done));
+    }
+    void revoke(std::int64_t lease, platform::lease_callback done) override {
+      call<std::int64_t>(
+          {call_kind::lease, ""}, [lease] { return lease; }, std::move(done));
+    }
+    std::unique_ptr<platform::watch_handle> watch(std::string prefix, std::int64_t revision,
+                                                  platform::watch_callback events) override {
+      auto added = std::make_shared<watcher>();
+      added->prefix = std::move(prefix);
+      added->events = std::move(events);
+      const call_fault chosen = choose({call_kind::watch, added->prefix});
+      if (chosen != call_fault::none && chosen != call_fault::slow) {
+        // A lost watch is silent, a refused one fails.
+        if (chosen != call_fault::request_lost) {
+          watchers_.push_back(added);
+          break_watches();
+        }
+        return std::make_unique<handle>(added);
+      }
+      watchers_.push_back(added);
+      for (const auto& old : store_.log_) {
+        if (old.now.mod_revision > revision) {
+          notify(old);
+        }
+      }
+      return std::make_unique<handle>(added);
+    }
+
+   private:
+    friend class stepped_platform;
+    struct watcher {
+      std::string prefix;
+      platform::watch_callback events;
+      bool active = true;
+    };
+    class handle final : public platform::watch_handle {
+     public:
+      explicit handle(std::shared_ptr<watcher> held) : held_(std::move(held)) {}
+      ~handle() override { held_->active = false; }
+      handle(const handle&) = delete;
+      handle& operator=(const handle&) = delete;
+
+     private:
+      std::shared_ptr<watcher> held_;
+    };
+
+    static std::string key_of(const platform::effect& what) {
+      return std::visit([](const auto& one) { return one.key; }, what);
+    }
+    call_fault choose(const call_info& info) { return fault ? fault(info) : call_fault::none; }
+    void deliver(duration wait, std::function<void()> what) {
+      store_.events_.after(wait, [alive = alive_, what = std::move(what)] {
+        if (*alive) {
+          what();
+        }
+      });
+    }
+    void notify(const platform::watch_event& event) {
+      const call_fault chosen = choose({call_kind::watch, event.now.key});
+      if (chosen == call_fault::request_lost || chosen == call_fault::answer_lost) {
+        return;
+      }
+      const duration wait =
+          chosen == call_fault::delayed || chosen == call_fault::reordered ? long_delay : one_way;
+      for (const auto& one : watchers_) {
+        if (event.now.key.starts_with(one->prefix)) {
+          send_event(wait, one, event);
+          if (chosen == call_fault::doubled) {
+            send_event(long_delay, one, event);
+          }
+        }
+      }
+    }
+    void send_event(duration wait, const std::shared_ptr<watcher>& to,
+                    const platform::watch_event& event) {
+      deliver(wait, [to, event] {
+        if (to->active) {
+          to->events(std::vector<platform::watch_event>{event});
+        }
+      });
+    }
+
+    template <class Value>
+    void call(const call_info& info, std::function<Value()> effect,
+              std::function<void(result<Value, platform::platform_failure>)> done) {
+      using answer = result<Value, platform::platform_failure>;
+      using platform::failure_kind;
+      if (!*alive_) {
+        return;
+      }
+      const auto fail = [&](duration wait, failure_kind kind, bool may) {
+        deliver(wait, [done, kind, may] {
+          done(answer(failed{platform::platform_failure{kind, may}}));
+        });
+      };
+      const auto take_effect = [&](duration wait) {
+        store_.events_.after(wait, [effect] { (void)effect(); });
+      };
+      const auto answer_after = [&](duration request, duration reply) {
+        store_.events_.after(request, [this, alive = alive_, effect, done, reply] {
+          deliver(reply, [done, value = effect()] { done(answer(value)); });
+        });
+      };
+      switch (choose(info)) {
+        case call_fault::none:
+          answer_after(one_way, one_way);
+          break;
+        case call_fault::request_lost:
+          fail(client_timeout, failure_kind::timed_out, true);
+          break;
+        case call_fault::answer_lost:
+          take_effect(one_way);
+          fail(client_timeout, failure_kind::timed_out, true);
+          break;
+        case call_fault::reset_after_effect:
+          take_effect(one_way);
+          fail(one_way * 2, failure_kind::unreachable, true);
+          break;
+        case call_fault::delayed:
+          take_effect(long_delay);
+          fail(client_timeout, failure_kind::timed_out, true);
+          break;
+        case call_fault::doubled:
+          answer_after(one_way, one_way);
+          take_effect(long_delay);
+          break;
+        case call_fault::reordered:
+          answer_after(client_timeout / 2, one_way);
+          break;
+        case call_fault::slow:
+          answer_after(one_way, client_timeout - one_way * 2);
+          break;
+        case call_fault::refused:
+          fail(one_way, failure_kind::unreachable, false);
+          break;
+      }
+    }
+
+    stepped_platform& store_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    std::vector<std::shared_ptr<watcher>> watchers_;
+  };
+
+  port& connect() {
+    ports_.push_back(std::make_unique<port>(*this));
+    return *ports_.back();
+  }
+  // Runs everything that is due.
+  void run_due() { events_.run_due(); }
+  [[nodiscard]] std::uint64_t transactions() const { return transactions_; }
+  [[nodiscard]] std::uint64_t reads() const { return reads_; }
+  [[nodiscard]] const std::map<std::string, platform::key_value>& content() const {
+    return values_;
+  }
+  // Drops the keys of a lease, as when it ends.
+  void end_lease(std::int64_t lease) {
+    std::erase_if(values_, [&](const auto& one) { return one.second.lease == lease; });
+  }
+  event_queue& events() { return events_; }
+
+ private:
+  platform::transaction_outcome apply(const platform::transaction& what) {
+    ++transactions_;
+    for (const platform::condition& one : what.conditions) {
+      if (!holds(one)) {
+        return {false, revision_, current(what.read_on_conflict)};
+      }
+    }
+    if (!what.effects.empty()) {
+      ++revision_;
+    }
+    for (const platform::effect& one : what.effects) {
+      std::visit(overloaded{[&](const platform::put& to) { change(to); },
+                            [&](const platform::erase& gone) { remove(gone.key); }},
+                 one);
+    }
+    return {true, revision_, {}};
+  }
+  bool holds(const platform::condition& one) const {
+    return std::visit(
+        overloaded{
+            [&](const platform::must_be_absent& absent) { return !values_.contains(absent.key); },
+            [&](const platform::must_be_unchanged& same) {
+              const auto at = values_.find(same.key);
+              return at != values_.end() && at->second.mod_revision == same.mod_revision;
+            }},
+        one);
+  }
+  void change(const platform::put& to) {
+    values_[to.key] = {to.key, to.value, revision_, to.lease};
+    announce({values_[to.key], false});
+  }
+  void remove(const std::string& key) {
+    values_.erase(key);
+    announce({{key, "", revision_, 0}, true});
+  }
+  void announce(const platform::watch_event& event) {
+    log_.push_back(event);
+    for (const auto& one : ports_) {
+      one->notify(event);
+    }
+  }
+  std::vector<platform::key_value> current(const std::vector<std::string>& keys) const {
+    std::vector<platform::key_value> found;
+    for (const std::string& key : keys) {
+      if (const auto at = values_.find(key); at != values_.end()) {
+        found.push_back(at->second);
+      }
+    }
+    return found;
+  }
+  platform::read_outcome find(const std::string& key) {
+    ++reads_;
+    return {revision_, current({key})};
+  }
+  platform::read_outcome find_prefix(const std::string& prefix) {
+    ++reads_;
+    platform::read_outcome seen{revision_, {}};
+    for (const auto& [key, value] : values_) {
+      if (key.starts_with(prefix)) {
+        seen.found.push_back(value);
+      }
+    }
+    return seen;
+  }
+
+  event_queue events_;
+  std::map<std::string, platform::key_value> values_;
+  std::vector<platform::watch_event> log_;
+  std::vector<std::unique_ptr<port>> ports_;
+  std::int64_t revision_ = 0;
+  std::int64_t last_lease_ = 0;
+  std::uint64_t transactions_ = 0;
+  std::uint64_t reads_ = 0;
+};
+
+}  // namespace hawthornnotch::test
+
+#endif  // HAWTHORNNOTCH_TESTS_SUPPORT_STEPPED_PLATFORM_H_
