--- /dev/null
+++ b/src/member/fleet_codec.cpp
@@ -0,0 +1,108 @@
+#include "hawthornnotch/member/fleet_codec.h"
+
+#include <boost/json/array.hpp>
+#include <limits>
+
+#include "hawthornnotch/config/json_reader.h"
+#include "hawthornnotch/member/json_fields.h"
+
+namespace hawthornnotch {
+
+namespace {
+
+constexpr std::uint64_t most_slots = 100'000;
+constexpr std::uint64_t default_slots = 8;
+constexpr std::string_view backend_server_kind = "backend_server";
+constexpr std::string_view entry_vm_kind = "entry_vm";
+
+endpoint read_endpoint(json_fields& fields, std::string_view key) {
+  const auto at = parse_endpoint(fields.text(key));
+  if (!at) {
+    fields.fail();
+    return {};
+  }
+  return *at;
+}
+
+}  // namespace
+
+std::string to_string(const endpoint& at) { return at.address + ":" + std::to_string(at.port); }
+
+boost::json::object to_json(const backend_server& server) {
+  boost::json::object out;
+  out["kind"] = backend_server_kind;
+  out["id"] = server.id;
+  out["incarnation"] = server.incarnation;
+  out["failure_domain"] = server.failure_domain;
+  out["address"] = to_string(server.address);
+  out["serves"] = boost::json::array(server.serves.begin(), server.serves.end());
+  out["slots"] = server.slots;
+  out["service"] = server.kind == backend_kind::service;
+  out["leaving"] = server.leaving;
+  out["checks_fencing"] = server.checks_fencing;
+  return out;
+}
+
+boost::json::object to_json(const entry_vm& vm) {
+  boost::json::object out;
+  out["kind"] = entry_vm_kind;
+  out["id"] = vm.id;
+  out["incarnation"] = vm.incarnation;
+  out["failure_domain"] = vm.failure_domain;
+  out["agent"] = to_string(vm.agent);
+  out["router"] = to_string(vm.router);
+  out["leaving"] = vm.leaving;
+  return out;
+}
+
+std::optional<backend_server> parse_backend_server(const boost::json::value& value) {
+  json_fields fields(value);
+  backend_server server;
+  server.id = fields.text("id");
+  server.incarnation = fields.text("incarnation");
+  server.failure_domain = fields.text("failure_domain");
+  server.address = read_endpoint(fields, "address");
+  server.serves = fields.texts("serves");
+  const std::uint64_t slots = fields.number("slots", default_slots);
+  server.slots = static_cast<std::uint32_t>(slots);
+  server.kind = fields.boolean("service", false) ? backend_kind::service : backend_kind::engine;
+  server.leaving = fields.boolean("leaving", false);
+  server.checks_fencing = fields.boolean("checks_fencing", false);
+  if (!fields.ok() || server.id.empty() || slots == 0 || slots > most_slots) {
+    return std::nullopt;
+  }
+  return server;
+}
+
+std::optional<entry_vm> parse_entry_vm(const boost::json::value& value) {
+  json_fields fields(value);
+  entry_vm vm;
+  vm.id = fields.text("id");
+  vm.incarnation = fields.text("incarnation");
+  vm.failure_domain = fields.text("failure_domain");
+  vm.agent = read_endpoint(fields, "agent");
+  vm.router = read_endpoint(fields, "router");
+  vm.leaving = fields.boolean("leaving", false);
+  if (!fields.ok() || vm.id.empty()) {
+    return std::nullopt;
+  }
+  return vm;
+}
+
+std::optional<fleet_vm> parse_fleet_vm(const boost::json::value& value) {
+  json_fields fields(value);
+  const std::string kind = fields.text("kind");
+  if (kind == backend_server_kind) {
+    if (auto server = parse_backend_server(value)) {
+      return fleet_vm(std::move(*server));
+    }
+  }
+  if (kind == entry_vm_kind) {
+    if (auto vm = parse_entry_vm(value)) {
+      return fleet_vm(std::move(*vm));
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace hawthornnotch
