--- a/src/member/fleet_codec.cpp
+++ b/src/member/fleet_codec.cpp
@@ -1,7 +1,7 @@
 #include "hawthornnotch/member/fleet_codec.h"
 
 #include <boost/json/array.hpp>
-#include <limits>
+#include <utility>
 
 #include "hawthornnotch/config/json_reader.h"
 #include "hawthornnotch/member/json_fields.h"
@@ -35,7 +35,11 @@
   out["incarnation"] = server.incarnation;
   out["failure_domain"] = server.failure_domain;
   out["address"] = to_string(server.address);
-  out["serves"] = boost::json::array(server.serves.begin(), server.serves.end());
+  boost::json::array serves;
+  for (const auto& name : server.serves) {
+    serves.emplace_back(name);
+  }
+  out["serves"] = std::move(serves);
   out["slots"] = server.slots;
   out["service"] = server.kind == backend_kind::service;
   out["leaving"] = server.leaving;
--- a/src/rpc/fleet_text.cpp
+++ b/src/rpc/fleet_text.cpp
@@ -65,7 +65,8 @@
 }
 
 json::array waiting_to_json(const peer_waiting& waiting) {
-  json::array out{waiting.vm};
+  json::array out;
+  out.emplace_back(waiting.vm);
   for (const std::uint32_t count : waiting.by_tier) {
     out.emplace_back(count);
   }
--- a/src/rpc/method_server.cpp
+++ b/src/rpc/method_server.cpp
@@ -23,9 +23,9 @@
 
 class json_rpc_server final : public jsonrpc::AbstractServer<json_rpc_server> {
  public:
-  json_rpc_server(text_connector& connector, method_map methods)
-      : AbstractServer(connector), methods_(std::move(methods)) {
-    for (const auto& [name, unused] : methods_) {
+  json_rpc_server(text_connector& connector, method_map answers)
+      : AbstractServer(connector), methods_(std::move(answers)) {
+    for (const auto& [name, answer] : methods_) {
       bindAndAddMethod(jsonrpc::Procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_STRING,
                                           "body", jsonrpc::JSON_STRING, nullptr),
                        &json_rpc_server::never_called);
--- a/src/rpc/router_rpc.cpp
+++ b/src/rpc/router_rpc.cpp
@@ -1,9 +1,7 @@
 #include "hawthornnotch/rpc/router_rpc.h"
 
-#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
-#include <iterator>
 #include <utility>
 
 #include "hawthornnotch/config/codec.h"
@@ -18,7 +16,11 @@
 namespace {
 
 json::array tiers_to_json(const std::uint32_t (&by_tier)[tier_count]) {
-  return {std::begin(by_tier), std::end(by_tier)};
+  json::array out;
+  for (const std::uint32_t count : by_tier) {
+    out.emplace_back(count);
+  }
+  return out;
 }
 
 void read_tiers(json_fields& fields, std::string_view key, std::uint32_t (&by_tier)[tier_count]) {
@@ -141,8 +143,7 @@
   return json::serialize(out);
 }
 
-result<router_snapshot, codec_fault> decode_router_snapshot(std::string_view text,
-                                                            time_point now) {
+result<router_snapshot, codec_fault> decode_router_snapshot(std::string_view text, time_point now) {
   const auto value = parse_json(text);
   if (!value) {
     return failed{codec_fault::malformed_json};
