Add membership of a failure domain without a coordination service

Leaving is kept per incarnation and never taken back; a replaced incarnation is retired; a VM loses its share only when two agents miss it and regains it with any higher heartbeat. Messages carry only changes after the acknowledged version, within a byte budget, facts before loads. A full-state exchange each round was ruled out for its bytes, and one agent's own timeout as a cause of removal because a cut between two agents would change the shares.

--- /dev/null
+++ b/src/member/exchange.cpp
@@ -0,0 +1,278 @@
+// The exchange with peers: choice of peers, messages within a byte budget, acknowledgement.
+#include <algorithm>
+#include <utility>
+
+#include "hawthornnotch/member/membership.h"
+
+namespace hawthornnotch::member {
+
+namespace {
+
+constexpr std::size_t most_progress_records = 2048;
+// Rounds between two exchanges with a seed that no known VM answers for.
+constexpr std::uint64_t seed_every = 5;
+// Silent VMs asked in one round, so that suspicion of many ripens within few rounds.
+constexpr std::size_t most_silent_probes = 3;
+constexpr std::size_t message_overhead_bytes = 400;
+constexpr std::size_t fact_overhead_bytes = 120;
+constexpr std::size_t class_bytes = 200;
+constexpr std::size_t hash_bytes = 70;
+constexpr std::size_t load_overhead_bytes = 40;
+
+std::size_t total_size(const std::vector<std::string>& texts) {
+  std::size_t bytes = 0;
+  for (const auto& text : texts) {
+    bytes += text.size() + 4;
+  }
+  return bytes;
+}
+
+// Estimates, not exact: the budget bounds what is composed before it is encoded.
+std::size_t approximate_bytes(const fact& what) {
+  const std::size_t extra = std::visit(
+      overloaded{
+          [](const backend_record& record) {
+            return fact_overhead_bytes + total_size(record.server.serves);
+          },
+          [](const retired_incarnation& /*gone*/) { return std::size_t{40}; },
+          [](const vm_record& /*record*/) { return std::size_t{100}; },
+          [](const suspicion& /*word*/) { return std::size_t{20}; },
+          [](const loaded_models& seen) { return total_size(seen.models); },
+          [](const workspace_parameters& workspace) {
+            return workspace.classes.size() * class_bytes + total_size(workspace.models) +
+                   workspace.key_hashes.size() * hash_bytes;
+          },
+      },
+      what);
+  return fact_overhead_bytes + extra;
+}
+
+template <class Element>
+void shuffle_front(std::vector<Element>& all, std::size_t count, random_source& random) {
+  count = std::min(count, all.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    const auto other = index + random.below(all.size() - index);
+    std::swap(all[index], all[other]);
+  }
+  all.resize(count);
+}
+
+}  // namespace
+
+std::vector<peer_contact> membership::choose_peers(random_source& random) {
+  std::vector<peer_contact> chosen;
+  add_peers(chosen, random);
+  add_seeds(chosen);
+  add_remote(chosen, random);
+  return chosen;
+}
+
+void membership::add_peers(std::vector<peer_contact>& chosen, random_source& random) const {
+  std::vector<peer_contact> live;
+  std::vector<peer_contact> silent;
+  for (const auto& vm : peers_.others()) {
+    const peer_contact contact{vm.id, vm.agent, true};
+    switch (peers_.standing(vm.id)) {
+      case vm_standing::alive:
+        (peers_.silent(vm.id) ? silent : live).push_back(contact);
+        break;
+      case vm_standing::contact:
+      case vm_standing::suspected:
+      case vm_standing::gone:
+        silent.push_back(contact);
+        break;
+      case vm_standing::leaving:
+        break;
+    }
+  }
+  shuffle_front(live, settings_.fanout, random);
+  shuffle_front(silent, most_silent_probes, random);
+  chosen.insert(chosen.end(), live.begin(), live.end());
+  chosen.insert(chosen.end(), silent.begin(), silent.end());
+}
+
+void membership::add_seeds(std::vector<peer_contact>& chosen) const {
+  const bool due = chosen.empty() || round_ % seed_every == 0;
+  if (!due) {
+    return;
+  }
+  const auto others = peers_.others();
+  for (const auto& seed : settings_.seeds) {
+    const bool known = std::any_of(others.begin(), others.end(),
+                                   [&seed](const entry_vm& vm) { return vm.agent == seed; });
+    if (!known && seed != peers_.self().vm.agent) {
+      chosen.push_back({{}, seed, true});
+    }
+  }
+}
+
+void membership::add_remote(std::vector<peer_contact>& chosen, random_source& random) const {
+  if (remote_.empty() || round_ % settings_.remote_every != 0) {
+    return;
+  }
+  auto pick = remote_.begin();
+  std::advance(pick, static_cast<std::ptrdiff_t>(random.below(remote_.size())));
+  chosen.push_back({pick->first, pick->second.agent, false});
+}
+
+gossip_message membership::message_for(const peer_contact& peer) {
+  return compose(peer.id, peer.same_failure_domain);
+}
+
+gossip_message membership::receive(const gossip_message& message) {
+  take(message);
+  const auto& from = message.from.vm;
+  return compose(from.id, from.failure_domain == peers_.self().vm.failure_domain);
+}
+
+void membership::receive_answer(const peer_contact& peer, const gossip_message& answer) {
+  take(answer);
+  peers_.exchange_succeeded(answer.from.vm.id);
+  const bool another_answers = !peer.id.empty() && peer.id != answer.from.vm.id;
+  if (another_answers) {
+    peers_.exchange_failed(peer.id);
+  }
+}
+
+void membership::exchange_failed(const peer_contact& peer) { peers_.exchange_failed(peer.id); }
+
+gossip_message membership::compose(const std::string& peer, bool same_failure_domain) {
+  gossip_message message;
+  message.from = peers_.self();
+  message.log_id = log_id_;
+  message.beat = peers_.beat();
+  message.newest_fact = facts_.version();
+  message.configuration_complete = complete_;
+  const auto known = progress_.find(peer);
+  if (known != progress_.end()) {
+    message.after = known->second.acknowledged;
+    message.seen = known->second.seen;
+  }
+  message.after.log_id = log_id_;
+  message.upto = message.after;
+  std::size_t budget = settings_.message_bytes - message_overhead_bytes;
+  add_facts(message, peer, same_failure_domain, budget);
+  if (same_failure_domain) {
+    add_loads(message, peer, budget);
+  }
+  return message;
+}
+
+void membership::add_facts(gossip_message& message, const std::string& peer,
+                           bool same_failure_domain, std::size_t& budget) const {
+  bool whole = true;
+  facts_.visit_after(message.after.facts, [&](const fact_log::change& change) {
+    const bool wanted = same_failure_domain || change.key.kind == fact_kind::workspace;
+    const auto what = fact_of(change.key);
+    const bool news = peer.empty() || change.origin != peer;
+    if (wanted && what && news) {
+      const std::size_t bytes = approximate_bytes(*what);
+      if (bytes > budget && !message.facts.empty()) {
+        whole = false;
+        return false;
+      }
+      budget -= std::min(budget, bytes);
+      message.facts.push_back(*what);
+    }
+    message.upto.facts = change.version;
+    return true;
+  });
+  if (whole) {
+    message.upto.facts = facts_.version();
+  }
+}
+
+void membership::add_loads(gossip_message& message, const std::string& peer,
+                           std::size_t& budget) const {
+  loads_.visit_after(message.after.loads, [&](const load_log::change& change) {
+    const auto what = load_of(change.key);
+    const bool news = peer.empty() || change.origin != peer;
+    if (what && news) {
+      const std::size_t bytes = load_overhead_bytes + change.key.id.size();
+      if (bytes > budget) {
+        return false;
+      }
+      budget -= bytes;
+      message.loads.push_back(*what);
+    }
+    message.upto.loads = change.version;
+    return true;
+  });
+}
+
+std::optional<fact> membership::fact_of(const fact_key& key) const {
+  switch (key.kind) {
+    case fact_kind::backend_server: {
+      const auto* record = backends_.find(key.id);
+      return record == nullptr ? std::nullopt : std::optional<fact>(*record);
+    }
+    case fact_kind::retired:
+      return fact(retired_incarnation{key.id, key.detail});
+    case fact_kind::entry_vm: {
+      const auto* record = peers_.find(key.id);
+      return record == nullptr ? std::nullopt : std::optional<fact>(*record);
+    }
+    case fact_kind::suspicion:
+      return peers_.suspicion_of(key.id, key.detail);
+    case fact_kind::loaded_models: {
+      const auto* seen = models_of(key.id);
+      return seen == nullptr ? std::nullopt : std::optional<fact>(*seen);
+    }
+    case fact_kind::workspace:
+      return fact(workspaces_.at(key.id));
+  }
+  return std::nullopt;
+}
+
+std::optional<load> membership::load_of(const load_key& key) const {
+  switch (key.kind) {
+    case load_kind::heartbeat:
+      return load(heartbeat{key.id, peers_.heartbeat_of(key.id)});
+    case load_kind::report: {
+      const load_report& report = reports_.at(key.id);
+      const bool fresh = time_.now() - report.measured < settings_.load_lifetime;
+      return fresh ? std::optional<load>(report) : std::nullopt;
+    }
+    case load_kind::waiting:
+      return load(waiting_.at(key.id).waiting);
+  }
+  return std::nullopt;
+}
+
+void membership::take(const gossip_message& message) {
+  const std::string& peer = message.from.vm.id;
+  if (peer == peers_.self().vm.id || peer.empty()) {
+    return;
+  }
+  if (progress_.size() >= most_progress_records && progress_.count(peer) == 0) {
+    progress_.clear();
+  }
+  progress& known = progress_[peer];
+  if (known.log_id != message.log_id) {
+    known = {message.log_id, {}, {message.log_id, 0, 0}};
+  }
+  if (message.seen.log_id == log_id_) {
+    known.acknowledged.facts = std::max(known.acknowledged.facts, message.seen.facts);
+    known.acknowledged.loads = std::max(known.acknowledged.loads, message.seen.loads);
+  }
+  remember_remote(message.from.vm);
+  peers_.merge(message.from, peer);
+  peers_.hear({peer, message.beat}, peer);
+  for (const auto& what : message.facts) {
+    merge(what, peer);
+  }
+  for (const auto& what : message.loads) {
+    merge(what, peer);
+  }
+  if (message.after.facts <= known.seen.facts) {
+    known.seen.facts = std::max(known.seen.facts, message.upto.facts);
+  }
+  if (message.after.loads <= known.seen.loads) {
+    known.seen.loads = std::max(known.seen.loads, message.upto.loads);
+  }
+  if (message.configuration_complete && known.seen.facts >= message.newest_fact) {
+    complete_ = true;
+  }
+}
+
+}  // namespace hawthornnotch::member
--- /dev/null
+++ b/tests/member/membership_test.cpp
@@ -0,0 +1,285 @@
+#include "hawthornnotch/member/membership.h"
+
+#include "fleet_of_agents.h"
+#include "test_case.h"
+
+namespace hawthornnotch::member {
+namespace {
+
+bool leaving(const membership& agent, const std::string& id) {
+  const auto* record = agent.backends().find(id);
+  return record != nullptr && record->server.leaving;
+}
+
+std::string incarnation_of(const membership& agent, const std::string& id) {
+  const auto* record = agent.backends().find(id);
+  return record == nullptr ? "" : record->server.incarnation;
+}
+
+std::size_t sharers(const membership& agent) { return agent.snapshot().entry_vms.size(); }
+
+// Agents 0..count-1 that have found each other.
+void settle(fleet_of_agents& fleet, int count) {
+  for (int number = 0; number < count; ++number) {
+    fleet.start(number);
+  }
+  const auto all_known = [count](const membership& agent) {
+    return sharers(agent) == static_cast<std::size_t>(count);
+  };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(all_known, 20) <= 20);
+}
+
+TEST_THAT(membership, spreads_leaving_to_all_from_one_that_heard_with_the_platform_down) {
+  fleet_of_agents fleet;
+  settle(fleet, 8);
+  fleet.at(3).apply_announcement(make_server("e1", "i1"), 5);
+  const auto known = [](const membership& agent) { return agent.backends().size() == 1; };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(known, 6) <= 6);
+  auto gone = make_server("e1", "i1");
+  gone.leaving = true;
+  fleet.at(5).apply_announcement(gone, 6);
+  const auto left = [](const membership& agent) { return leaving(agent, "e1"); };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(left, 6) <= 6);
+}
+
+TEST_THAT(membership, never_takes_leaving_back_within_an_incarnation) {
+  fleet_of_agents fleet;
+  settle(fleet, 3);
+  auto gone = make_server("e1", "i1");
+  gone.leaving = true;
+  fleet.at(0).apply_list({gone});
+  for (int round = 0; round < 4; ++round) {
+    // The list lags at another agent, and an operator's older word is read late.
+    fleet.at(1).apply_list({make_server("e1", "i1")});
+    fleet.at(2).apply_announcement(make_server("e1", "i1"), 9 + round);
+    fleet.round();
+  }
+  for (int number = 0; number < 3; ++number) {
+    CPPUNIT_ASSERT(leaving(fleet.at(number), "e1"));
+  }
+}
+
+TEST_THAT(membership, shows_an_announced_server_at_once_and_not_one_of_another_failure_domain) {
+  fleet_of_agents fleet;
+  membership& agent = fleet.start(0);
+  const auto before = agent.version();
+  agent.apply_announcement(make_server("e1", "i1"), 1);
+  auto elsewhere = make_server("e2", "i1");
+  elsewhere.failure_domain = "vz-jug";
+  agent.apply_announcement(elsewhere, 2);
+  CPPUNIT_ASSERT(agent.version() > before);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, agent.snapshot().backend_servers.size());
+}
+
+TEST_THAT(membership, does_not_take_a_replaced_vm_for_the_old_one) {
+  fleet_of_agents fleet;
+  settle(fleet, 4);
+  auto old = make_server("e1", "i1");
+  fleet.at(0).apply_list({old});
+  const auto known = [](const membership& agent) { return agent.backends().size() == 1; };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(known, 6) <= 6);
+  old.leaving = true;
+  fleet.at(1).apply_list({old});
+  fleet.at(0).apply_list({make_server("e1", "i0")});
+  // A stale reading of the list must not bring the old incarnation back.
+  const auto replaced = [](const membership& agent) {
+    return incarnation_of(agent, "e1") == "i0" && !leaving(agent, "e1");
+  };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(replaced, 6) <= 6);
+  fleet.at(2).apply_list({old});
+  CPPUNIT_ASSERT_EQUAL(0, fleet.rounds_until_all(replaced, 6));
+}
+
+TEST_THAT(membership, lets_an_announcement_lead_the_lagging_list_but_not_for_ever) {
+  fleet_of_agents fleet;
+  membership& agent = fleet.start(0);
+  agent.apply_list({make_server("e1", "i1")});
+  agent.apply_announcement(make_server("e1", "i2"), 4);
+  agent.apply_list({make_server("e1", "i1")});
+  CPPUNIT_ASSERT_EQUAL(std::string("i2"), incarnation_of(agent, "e1"));
+  fleet.time.advance(duration{121'000});
+  agent.apply_list({make_server("e1", "i3")});
+  CPPUNIT_ASSERT_EQUAL(std::string("i3"), incarnation_of(agent, "e1"));
+}
+
+TEST_THAT(membership, keeps_the_last_known_through_an_empty_list_and_one_short_reading) {
+  fleet_of_agents fleet;
+  membership& agent = fleet.start(0);
+  const auto first = make_server("e1", "i1");
+  const auto second = make_server("e2", "i1");
+  agent.apply_list({first, second});
+  agent.apply_list({});
+  agent.apply_list({first});
+  agent.apply_list({first, second});
+  CPPUNIT_ASSERT(!leaving(agent, "e2"));
+  agent.apply_list({first});
+  agent.apply_list({first});
+  CPPUNIT_ASSERT(leaving(agent, "e2"));
+  CPPUNIT_ASSERT(!leaving(agent, "e1"));
+}
+
+TEST_THAT(membership, agrees_within_few_rounds_after_1_2_and_4_join_at_once) {
+  for (const int joining : {1, 2, 4}) {
+    fleet_of_agents fleet;
+    settle(fleet, 4);
+    for (int number = 4; number < 4 + joining; ++number) {
+      fleet.start(number);
+    }
+    const auto all = static_cast<std::size_t>(4 + joining);
+    const auto agreed = [all](const membership& agent) { return sharers(agent) == all; };
+    CPPUNIT_ASSERT(fleet.rounds_until_all(agreed, 8) <= 8);
+  }
+}
+
+TEST_THAT(membership, agrees_after_half_are_gone_at_once) {
+  fleet_of_agents fleet;
+  settle(fleet, 8);
+  for (const int number : {1, 3, 5, 7}) {
+    fleet.stop(number);
+  }
+  const auto agreed = [](const membership& agent) { return sharers(agent) == 4; };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(agreed, 25) <= 25);
+}
+
+TEST_THAT(membership, keeps_the_share_of_a_vm_that_only_one_agent_cannot_reach) {
+  for (const bool both_ways : {false, true}) {
+    fleet_of_agents fleet;
+    settle(fleet, 4);
+    fleet.cut(0, 1);
+    if (both_ways) {
+      fleet.cut(1, 0);
+    }
+    for (int round = 0; round < 60; ++round) {
+      fleet.round();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4}, sharers(fleet.at(0)));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4}, sharers(fleet.at(2)));
+    }
+  }
+}
+
+TEST_THAT(membership, gives_a_vm_its_share_back_once_a_cut_is_healed) {
+  fleet_of_agents fleet;
+  settle(fleet, 4);
+  for (const int other : {0, 1, 2}) {
+    fleet.cut(other, 3);
+    fleet.cut(3, other);
+  }
+  const auto removed = [](const membership& agent) {
+    return agent.peers().self().vm.id == "vm-3" || sharers(agent) == 3;
+  };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(removed, 20) <= 20);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{4}, sharers(fleet.at(3)));
+  fleet.heal();
+  const auto back = [](const membership& agent) { return sharers(agent) == 4; };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(back, 10) <= 10);
+}
+
+TEST_THAT(membership, drops_a_vm_that_says_it_leaves_and_takes_back_a_new_start_of_it) {
+  fleet_of_agents fleet;
+  settle(fleet, 4);
+  fleet.at(2).leave();
+  const auto left = [](const membership& agent) { return sharers(agent) == 3; };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(left, 6) <= 6);
+  fleet.stop(2);
+  fleet.round();
+  fleet.start(2);
+  const auto back = [](const membership& agent) { return sharers(agent) == 4; };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(back, 8) <= 8);
+}
+
+TEST_THAT(membership, shares_polling_evenly_and_has_two_watchers) {
+  fleet_of_agents fleet;
+  settle(fleet, 8);
+  constexpr int servers = 400;
+  int watchers = 0;
+  for (int number = 0; number < 8; ++number) {
+    const membership& agent = fleet.at(number);
+    watchers += agent.watches_platform() ? 1 : 0;
+    int polled = 0;
+    for (int server = 0; server < servers; ++server) {
+      polled += agent.polls("e" + std::to_string(server)) ? 1 : 0;
+    }
+    // 400 servers polled by two each, over 8 agents: 100 on average.
+    CPPUNIT_ASSERT(polled > 70 && polled < 130);
+  }
+  CPPUNIT_ASSERT_EQUAL(2, watchers);
+}
+
+workspace_table workspaces_at(std::uint64_t revision) {
+  workspace_parameters workspace;
+  workspace.workspace = "zimska";
+  workspace.revision = revision;
+  return {{"zimska", workspace}};
+}
+
+TEST_THAT(membership, brings_configuration_to_an_agent_cut_from_the_platform_and_never_reverts) {
+  fleet_of_agents fleet;
+  settle(fleet, 4);
+  fleet.at(1).apply_workspaces(workspaces_at(7), true);
+  const auto has_it = [](const membership& agent) {
+    const auto found = agent.workspaces().find("zimska");
+    return agent.configuration_complete() && found != agent.workspaces().end() &&
+           found->second.revision == 7;
+  };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(has_it, 6) <= 6);
+  // A stale reading, or a peer that missed the change, is outvoted by the revision.
+  fleet.at(2).apply_workspaces(workspaces_at(6), true);
+  fleet.round();
+  CPPUNIT_ASSERT_EQUAL(0, fleet.rounds_until_all(has_it, 0));
+  fleet.start(4);
+  CPPUNIT_ASSERT(!fleet.at(4).configuration_complete());
+  CPPUNIT_ASSERT(fleet.rounds_until_all(has_it, 6) <= 6);
+}
+
+TEST_THAT(membership, cuts_messages_to_the_byte_budget_and_resumes_where_it_stopped) {
+  membership_settings settings;
+  settings.message_bytes = 2'000;
+  fleet_of_agents fleet(settings);
+  settle(fleet, 2);
+  std::vector<fleet_vm> listed;
+  for (int server = 0; server < 200; ++server) {
+    listed.emplace_back(make_server("e" + std::to_string(server), "i1"));
+  }
+  fleet.at(0).apply_list(listed);
+  const auto message = fleet.at(0).message_for({"vm-1", make_vm(1).agent, true});
+  CPPUNIT_ASSERT(!message.facts.empty() && message.facts.size() < 20);
+  const auto all = [](const membership& agent) { return agent.backends().size() == 200; };
+  CPPUNIT_ASSERT(fleet.rounds_until_all(all, 40) <= 40);
+}
+
+TEST_THAT(membership, says_nothing_twice_to_a_peer_that_acknowledged_it) {
+  fleet_of_agents fleet;
+  settle(fleet, 2);
+  fleet.at(0).apply_announcement(make_server("e1", "i1"), 1);
+  for (int round = 0; round < 4; ++round) {
+    fleet.round();
+  }
+  CPPUNIT_ASSERT(fleet.at(0).message_for({"vm-1", make_vm(1).agent, true}).facts.empty());
+}
+
+TEST_THAT(membership, stays_bounded_when_a_peer_sends_too_much) {
+  membership_settings settings;
+  settings.backends.servers = 10;
+  settings.peers.vms = 10;
+  settings.workspaces = 10;
+  fleet_of_agents fleet(settings);
+  membership& agent = fleet.start(0);
+  gossip_message flood;
+  flood.from = {make_vm(1), 1};
+  flood.log_id = "x";
+  for (int number = 0; number < 100; ++number) {
+    flood.facts.emplace_back(backend_record{make_server("e" + std::to_string(number), "i"), 0});
+    flood.facts.emplace_back(vm_record{make_vm(number + 2), 1});
+    workspace_parameters workspace;
+    workspace.workspace = "w" + std::to_string(number);
+    flood.facts.emplace_back(workspace);
+  }
+  (void)agent.receive(flood);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{10}, agent.backends().size());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{90}, agent.backends().refused());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{10}, agent.peers().others().size());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{10}, agent.workspaces().size());
+}
+
+}  // namespace
+}  // namespace hawthornnotch::member
