--- /dev/null
+++ b/src/rpc/gossip_codec.cpp
@@ -0,0 +1,276 @@
+#include "hawthornnotch/rpc/gossip_codec.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <optional>
+#include <utility>
+
+#include "hawthornnotch/config/codec.h"
+#include "hawthornnotch/member/fleet_codec.h"
+#include "hawthornnotch/member/json_fields.h"
+#include "rpc/fleet_text.h"
+
+namespace hawthornnotch::rpc {
+
+namespace json = boost::json;
+
+namespace {
+
+// Each element is an object with one member, named after its kind.
+constexpr std::string_view server_key = "server";
+constexpr std::string_view retired_key = "retired";
+constexpr std::string_view vm_key = "vm";
+constexpr std::string_view suspicion_key = "suspicion";
+constexpr std::string_view models_key = "models";
+constexpr std::string_view workspace_key = "workspace";
+constexpr std::string_view heartbeat_key = "beat";
+constexpr std::string_view report_key = "report";
+constexpr std::string_view waiting_key = "waiting";
+
+json::object to_json(const member::vm_record& record) {
+  json::object out = hawthornnotch::to_json(record.vm);
+  out["started"] = record.started;
+  return out;
+}
+
+json::object to_json(const member::log_position& position) {
+  json::object out;
+  out["log_id"] = position.log_id;
+  out["facts"] = position.facts;
+  out["loads"] = position.loads;
+  return out;
+}
+
+json::object to_json(const member::loaded_models& seen) {
+  json::array models;
+  for (const auto& model : seen.models) {
+    models.emplace_back(model);
+  }
+  json::object out;
+  out["id"] = seen.backend_server;
+  out["incarnation"] = seen.incarnation;
+  out["models"] = std::move(models);
+  out["observed"] = seen.observed;
+  return out;
+}
+
+json::object to_json(const member::fact& what) {
+  json::object out;
+  std::visit(
+      overloaded{
+          [&out](const member::backend_record& record) {
+            json::object server = hawthornnotch::to_json(record.server);
+            server["announced_at"] = record.announced_at;
+            out[server_key] = std::move(server);
+          },
+          [&out](const member::retired_incarnation& gone) {
+            out[retired_key] = {{"id", gone.id}, {"incarnation", gone.incarnation}};
+          },
+          [&out](const member::vm_record& record) { out[vm_key] = to_json(record); },
+          [&out](const member::suspicion& word) {
+            out[suspicion_key] = {{"vm", word.vm}, {"by", word.by}, {"heartbeat", word.heartbeat}};
+          },
+          [&out](const member::loaded_models& seen) { out[models_key] = to_json(seen); },
+          [&out](const workspace_parameters& workspace) {
+            out[workspace_key] = hawthornnotch::to_json(workspace);
+          },
+      },
+      what);
+  return out;
+}
+
+json::object to_json(const member::load& what, time_point now) {
+  json::object out;
+  std::visit(
+      overloaded{
+          [&out](const member::heartbeat& sign) {
+            json::array list;
+            list.emplace_back(sign.vm);
+            list.emplace_back(sign.beat);
+            out[heartbeat_key] = std::move(list);
+          },
+          [&out, now](const load_report& report) { out[report_key] = report_to_json(report, now); },
+          [&out](const peer_waiting& waiting) { out[waiting_key] = waiting_to_json(waiting); },
+      },
+      what);
+  return out;
+}
+
+std::optional<member::vm_record> vm_from_json(const json::value& value) {
+  auto vm = parse_entry_vm(value);
+  json_fields fields(value);
+  const std::uint64_t started = fields.number("started");
+  if (!vm || !fields.ok()) {
+    return std::nullopt;
+  }
+  return member::vm_record{std::move(*vm), started};
+}
+
+member::log_position position_from_json(json_fields& outer, std::string_view key) {
+  member::log_position position;
+  const auto* value = outer.find(key);
+  if (value == nullptr) {
+    outer.fail();
+    return position;
+  }
+  json_fields fields(*value);
+  position.log_id = fields.text("log_id");
+  position.facts = fields.number("facts");
+  position.loads = fields.number("loads");
+  if (!fields.ok()) {
+    outer.fail();
+  }
+  return position;
+}
+
+std::optional<member::fact> server_fact(const json::value& value) {
+  auto server = parse_backend_server(value);
+  json_fields fields(value);
+  const auto announced_at = static_cast<std::int64_t>(fields.number("announced_at"));
+  if (!server || !fields.ok()) {
+    return std::nullopt;
+  }
+  return member::backend_record{std::move(*server), announced_at};
+}
+
+std::optional<member::fact> retired_fact(const json::value& value) {
+  json_fields fields(value);
+  member::retired_incarnation gone{fields.text("id"), fields.text("incarnation")};
+  return fields.ok() ? std::optional<member::fact>(std::move(gone)) : std::nullopt;
+}
+
+std::optional<member::fact> vm_fact(const json::value& value) {
+  auto record = vm_from_json(value);
+  return record ? std::optional<member::fact>(std::move(*record)) : std::nullopt;
+}
+
+std::optional<member::fact> suspicion_fact(const json::value& value) {
+  json_fields fields(value);
+  member::suspicion word{fields.text("vm"), fields.text("by"), fields.number("heartbeat")};
+  return fields.ok() ? std::optional<member::fact>(std::move(word)) : std::nullopt;
+}
+
+std::optional<member::fact> models_fact(const json::value& value) {
+  json_fields fields(value);
+  member::loaded_models seen;
+  seen.backend_server = fields.text("id");
+  seen.incarnation = fields.text("incarnation");
+  seen.models = fields.texts("models");
+  seen.observed = fields.number("observed");
+  return fields.ok() ? std::optional<member::fact>(std::move(seen)) : std::nullopt;
+}
+
+std::optional<member::fact> workspace_fact(const json::value& value) {
+  auto workspace = workspace_from_json(value);
+  return workspace ? std::optional<member::fact>(std::move(*workspace)) : std::nullopt;
+}
+
+std::optional<member::load> heartbeat_load(const json::value& value) {
+  const auto* list = value.if_array();
+  const bool shaped = list != nullptr && list->size() == 2 && list->front().is_string() &&
+                      list->back().is_int64() && list->back().get_int64() >= 0;
+  if (!shaped) {
+    return std::nullopt;
+  }
+  const auto& name = list->front().get_string();
+  return member::heartbeat{{name.data(), name.size()},
+                           static_cast<std::uint64_t>(list->back().get_int64())};
+}
+
+// Calls the reader that is named by the element's only member.
+template <class Element, class Reader>
+void read_elements(json_fields& fields, std::string_view key,
+                   const std::map<std::string_view, Reader>& readers, std::vector<Element>& into) {
+  for (const auto& element : fields.list(key)) {
+    const auto* object = element.if_object();
+    if (object == nullptr || object->size() != 1) {
+      fields.fail();
+      return;
+    }
+    const auto& member = *object->begin();
+    const auto reader = readers.find(std::string_view(member.key().data(), member.key().size()));
+    if (reader == readers.end()) {
+      continue;
+    }
+    auto parsed = reader->second(member.value());
+    if (!parsed) {
+      fields.fail();
+      return;
+    }
+    into.push_back(std::move(*parsed));
+  }
+}
+
+void read_facts(json_fields& fields, std::vector<member::fact>& into) {
+  using reader = std::optional<member::fact> (*)(const json::value&);
+  static const std::map<std::string_view, reader> readers = {
+      {server_key, server_fact},       {retired_key, retired_fact}, {vm_key, vm_fact},
+      {suspicion_key, suspicion_fact}, {models_key, models_fact},   {workspace_key, workspace_fact},
+  };
+  read_elements(fields, "facts", readers, into);
+}
+
+void read_loads(json_fields& fields, time_point now, std::vector<member::load>& into) {
+  using reader = std::function<std::optional<member::load>(const json::value&)>;
+  const std::map<std::string_view, reader> readers = {
+      {heartbeat_key, heartbeat_load},
+      {report_key, [now](const json::value& value) { return report_from_json(value, now); }},
+      {waiting_key, [](const json::value& value) { return waiting_from_json(value); }},
+  };
+  read_elements(fields, "loads", readers, into);
+}
+
+}  // namespace
+
+std::string encode(const member::gossip_message& message, time_point now) {
+  json::array facts;
+  for (const auto& what : message.facts) {
+    facts.emplace_back(to_json(what));
+  }
+  json::array loads;
+  for (const auto& what : message.loads) {
+    loads.emplace_back(to_json(what, now));
+  }
+  json::object out;
+  out["from"] = to_json(message.from);
+  out["log_id"] = message.log_id;
+  out["beat"] = message.beat;
+  out["seen"] = to_json(message.seen);
+  out["after"] = to_json(message.after);
+  out["upto"] = to_json(message.upto);
+  out["newest_fact"] = message.newest_fact;
+  out["complete"] = message.configuration_complete;
+  out["facts"] = std::move(facts);
+  out["loads"] = std::move(loads);
+  return json::serialize(out);
+}
+
+result<member::gossip_message, codec_fault> decode_gossip(std::string_view text, time_point now) {
+  const auto value = parse_json(text);
+  if (!value) {
+    return failed{codec_fault::malformed_json};
+  }
+  json_fields fields(*value);
+  member::gossip_message message;
+  const auto* from = fields.find("from");
+  auto sender = from == nullptr ? std::nullopt : vm_from_json(*from);
+  if (!sender) {
+    return failed{codec_fault::wrong_shape};
+  }
+  message.from = std::move(*sender);
+  message.log_id = fields.text("log_id");
+  message.beat = fields.number("beat");
+  message.seen = position_from_json(fields, "seen");
+  message.after = position_from_json(fields, "after");
+  message.upto = position_from_json(fields, "upto");
+  message.newest_fact = fields.number("newest_fact");
+  message.configuration_complete = fields.boolean("complete");
+  read_facts(fields, message.facts);
+  read_loads(fields, now, message.loads);
+  if (!fields.ok()) {
+    return failed{codec_fault::wrong_shape};
+  }
+  return message;
+}
+
+}  // namespace hawthornnotch::rpc
