--- /dev/null
+++ b/src/lease/order_planner.cpp
@@ -0,0 +1,178 @@
+#include "hawthornnotch/lease/order_planner.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace hawthornnotch::lease {
+
+namespace {
+
+bool contains(const std::vector<std::string>& all, const std::string& one) {
+  return std::find(all.begin(), all.end(), one) != all.end();
+}
+
+const load_report* report_of(const std::string& id, const fleet_snapshot& fleet) {
+  for (const auto& report : fleet.reports) {
+    if (report.backend_server == id) {
+      return &report;
+    }
+  }
+  return nullptr;
+}
+
+// Requests per slot, in thousandths.
+std::uint64_t pressure(const backend_server& server, const fleet_snapshot& fleet) {
+  const auto* report = report_of(server.id, fleet);
+  const std::uint64_t requests = report == nullptr ? 0 : report->running + report->waiting;
+  return requests * 1000 / std::max<std::uint32_t>(server.slots, 1);
+}
+
+}  // namespace
+
+order_planner::order_planner(planner_settings settings, const clock& time)
+    : settings_(std::move(settings)), time_(time) {}
+
+std::vector<engine_order> order_planner::plan(std::uint64_t fencing, const fleet_snapshot& fleet) {
+  begin_term(fencing);
+  refill();
+  settle_outstanding(fleet);
+  missing_.clear();
+  std::vector<engine_order> orders;
+  const bool settled = time_.now() - term_began_ >= settings_.dead_after;
+  for (const auto& [model, wanted] : settings_.replicas) {
+    std::uint32_t have = count_live(model, fleet);
+    if (have >= wanted) {
+      continue;
+    }
+    missing_[model] = wanted - have;
+    have += count_outstanding(model);
+    while (settled && superseded_ < fencing && have < wanted && tokens_ > 0) {
+      const backend_server* server = choose(model, fleet);
+      if (server == nullptr) {
+        break;
+      }
+      const engine_order order{server->id, server->incarnation,   server->address, model,
+                               fencing,    server->checks_fencing};
+      outstanding_[server->id] = {order, time_.now()};
+      orders.push_back(order);
+      --tokens_;
+      ++have;
+    }
+  }
+  return orders;
+}
+
+// The bucket starts empty with each term, so that a change of holders can't exceed the rate.
+void order_planner::begin_term(std::uint64_t fencing) {
+  if (fencing == term_) {
+    return;
+  }
+  term_ = fencing;
+  term_began_ = time_.now();
+  tokens_ = 0;
+  refilled_ = time_.now();
+}
+
+void order_planner::refill() {
+  const std::int64_t periods = (time_.now() - refilled_).ms / settings_.load_period.ms;
+  if (periods > 0) {
+    refilled_ = refilled_ + settings_.load_period * periods;
+    const auto more =
+        static_cast<std::uint32_t>(std::min<std::int64_t>(periods, settings_.load_burst));
+    tokens_ = std::min(tokens_ + more, settings_.load_burst);
+  }
+}
+
+void order_planner::settle_outstanding(const fleet_snapshot& fleet) {
+  std::erase_if(outstanding_, [&](const auto& entry) {
+    const auto& [order, since] = entry.second;
+    const auto server = std::find_if(
+        fleet.backend_servers.begin(), fleet.backend_servers.end(),
+        [&order = order](const backend_server& known) { return known.id == order.backend_server; });
+    const bool same_start =
+        server != fleet.backend_servers.end() && server->incarnation == order.incarnation;
+    if (!same_start || server->leaving || contains(server->serves, order.model)) {
+      return true;
+    }
+    return time_.now() - since > settings_.order_timeout;
+  });
+}
+
+bool order_planner::alive(const backend_server& server, const fleet_snapshot& fleet) const {
+  if (server.kind != backend_kind::engine || server.leaving) {
+    return false;
+  }
+  const auto* report = report_of(server.id, fleet);
+  return report != nullptr && time_.now() - report->measured < settings_.dead_after;
+}
+
+std::uint32_t order_planner::count_live(const std::string& model,
+                                        const fleet_snapshot& fleet) const {
+  const auto live = std::count_if(fleet.backend_servers.begin(), fleet.backend_servers.end(),
+                                  [&](const backend_server& server) {
+                                    return contains(server.serves, model) && alive(server, fleet);
+                                  });
+  return static_cast<std::uint32_t>(live);
+}
+
+std::uint32_t order_planner::count_outstanding(const std::string& model) const {
+  const auto count =
+      std::count_if(outstanding_.begin(), outstanding_.end(),
+                    [&model](const auto& entry) { return entry.second.order.model == model; });
+  return static_cast<std::uint32_t>(count);
+}
+
+// The least loaded live engine with room that has no order yet; ties by fewest models, then id.
+const backend_server* order_planner::choose(const std::string& model,
+                                            const fleet_snapshot& fleet) const {
+  const backend_server* best = nullptr;
+  const auto rank = [&fleet](const backend_server& server) {
+    return std::tuple(pressure(server, fleet), server.serves.size(), server.id);
+  };
+  for (const auto& server : fleet.backend_servers) {
+    const bool fits = alive(server, fleet) && !contains(server.serves, model) &&
+                      server.serves.size() < settings_.models_per_engine &&
+                      outstanding_.count(server.id) == 0;
+    if (fits && (best == nullptr || rank(server) < rank(*best))) {
+      best = &server;
+    }
+  }
+  return best;
+}
+
+bool order_planner::still_needed(const engine_order& order, const engine_observation& before) {
+  if (before.fencing > order.fencing) {
+    ended(order, order_end::refused_old_number);
+    return false;
+  }
+  if (contains(before.models, order.model)) {
+    ended(order, order_end::carried_out);
+    return false;
+  }
+  const bool current = order.fencing == term_ && superseded_ < order.fencing;
+  if (!current) {
+    ended(order, order_end::not_sent);
+  }
+  return current;
+}
+
+void order_planner::ended(const engine_order& order, order_end end) {
+  switch (end) {
+    case order_end::carried_out:
+      // Stays outstanding until the fleet shows it, so that a late report brings no second order.
+      return;
+    case order_end::refused_old_number:
+      superseded_ = std::max(superseded_, order.fencing);
+      outstanding_.erase(order.backend_server);
+      return;
+    case order_end::not_sent:
+      outstanding_.erase(order.backend_server);
+      return;
+    case order_end::unknown:
+      // Stays outstanding until its effect is seen or it times out.
+      return;
+  }
+}
+
+}  // namespace hawthornnotch::lease
--- /dev/null
+++ b/tests/lease/order_planner_test.cpp
@@ -0,0 +1,199 @@
+#include "hawthornnotch/lease/order_planner.h"
+
+#include <algorithm>
+#include <memory>
+#include <set>
+
+#include "test_case.h"
+
+namespace hawthornnotch::lease {
+namespace {
+
+using namespace literals;
+
+// Engines with and without a fencing check, and what orders do to them.
+class engines {
+ public:
+  explicit engines(int count, bool check = true) {
+    for (int number = 0; number < count; ++number) {
+      backend_server server;
+      server.id = "e" + std::to_string(number);
+      server.incarnation = "i1";
+      server.checks_fencing = check;
+      fleet.backend_servers.push_back(server);
+    }
+  }
+  backend_server& at(int number) { return fleet.backend_servers.at(number); }
+  void report(const clock& time) {
+    fleet.reports.clear();
+    for (const auto& server : fleet.backend_servers) {
+      if (dead.count(server.id) == 0) {
+        fleet.reports.push_back({server.id, 0, 0, time.now()});
+      }
+    }
+  }
+  engine_observation observe(const engine_order& order) {
+    return {find(order.backend_server).serves, fencing[order.backend_server]};
+  }
+  order_end send(const engine_order& order) {
+    std::uint64_t& highest = fencing[order.backend_server];
+    backend_server& server = find(order.backend_server);
+    if (server.checks_fencing && order.fencing < highest) {
+      return order_end::refused_old_number;
+    }
+    highest = std::max(highest, order.fencing);
+    server.serves.push_back(order.model);
+    ++loads;
+    return order_end::carried_out;
+  }
+
+  fleet_snapshot fleet;
+  std::set<std::string> dead;
+  std::map<std::string, std::uint64_t> fencing;
+  int loads = 0;
+
+ private:
+  backend_server& find(const std::string& id) {
+    return *std::find_if(fleet.backend_servers.begin(), fleet.backend_servers.end(),
+                         [&id](const backend_server& server) { return server.id == id; });
+  }
+};
+
+planner_settings two_of_m() {
+  planner_settings settings;
+  settings.replicas = {{"m", 2}};
+  return settings;
+}
+
+// One plan with its orders carried out.
+void run_once(order_planner& planner, engines& all, const clock& time, std::uint64_t fencing) {
+  all.report(time);
+  for (const auto& order : planner.plan(fencing, all.fleet)) {
+    if (planner.still_needed(order, all.observe(order))) {
+      planner.ended(order, all.send(order));
+    }
+  }
+}
+
+void run_for(order_planner& planner, engines& all, stepped_clock& time, std::uint64_t fencing,
+             int seconds) {
+  for (int second = 0; second < seconds; ++second) {
+    time.advance(1_s);
+    run_once(planner, all, time, fencing);
+  }
+}
+
+TEST_THAT(order_planner, orders_a_model_with_too_few_live_replicas_onto_another_server) {
+  stepped_clock time;
+  engines all(4);
+  all.at(0).serves = {"m"};
+  all.at(1).serves = {"m"};
+  order_planner planner(two_of_m(), time);
+  run_for(planner, all, time, 1, 120);
+  CPPUNIT_ASSERT_EQUAL(0, all.loads);
+  all.dead.insert("e1");
+  run_for(planner, all, time, 1, 60);
+  CPPUNIT_ASSERT_EQUAL(1, all.loads);
+  all.at(0).leaving = true;
+  run_for(planner, all, time, 1, 60);
+  CPPUNIT_ASSERT_EQUAL(2, all.loads);
+  CPPUNIT_ASSERT(planner.missing().empty());
+}
+
+TEST_THAT(order_planner, waits_until_a_new_holder_has_seen_reports) {
+  stepped_clock time;
+  engines all(2);
+  all.at(0).serves = {"m"};
+  all.at(1).serves = {"m"};
+  order_planner planner(two_of_m(), time);
+  // No report has arrived yet: everything looks dead.
+  time.advance(60_s);
+  CPPUNIT_ASSERT(planner.plan(1, all.fleet).empty());
+  time.advance(60_s);
+  CPPUNIT_ASSERT(planner.plan(2, all.fleet).empty());
+}
+
+TEST_THAT(order_planner, keeps_the_weight_stores_rate_across_changes_of_holder) {
+  stepped_clock time;
+  engines all(40);
+  planner_settings settings;
+  settings.replicas = {{"m", 40}};
+  std::uint64_t fencing = 0;
+  constexpr int seconds = 1'200;
+  std::unique_ptr<order_planner> planner;
+  for (int second = 0; second < seconds; ++second) {
+    if (second % 100 == 0) {
+      planner = std::make_unique<order_planner>(settings, time);
+      ++fencing;
+    }
+    run_for(*planner, all, time, fencing, 1);
+  }
+  CPPUNIT_ASSERT(all.loads > 20);
+  CPPUNIT_ASSERT(all.loads <= seconds / 30);
+}
+
+TEST_THAT(order_planner, has_one_order_at_a_time_on_a_server_also_when_the_answer_is_lost) {
+  stepped_clock time;
+  engines all(1);
+  planner_settings settings;
+  settings.replicas = {{"m", 1}, {"n", 1}};
+  order_planner planner(settings, time);
+  all.report(time);
+  (void)planner.plan(1, all.fleet);
+  time.advance(60_s);
+  all.report(time);
+  const auto first = planner.plan(1, all.fleet);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+  planner.ended(first.front(), order_end::unknown);
+  time.advance(60_s);
+  all.report(time);
+  CPPUNIT_ASSERT(planner.plan(1, all.fleet).empty());
+  time.advance(300_s);
+  all.report(time);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, planner.plan(1, all.fleet).size());
+}
+
+TEST_THAT(order_planner, stops_when_an_engine_has_seen_a_higher_number) {
+  for (const bool check : {true, false}) {
+    stepped_clock time;
+    engines all(3, check);
+    order_planner old_holder(two_of_m(), time);
+    order_planner new_holder(two_of_m(), time);
+    all.report(time);
+    (void)old_holder.plan(1, all.fleet);
+    time.advance(60_s);
+    all.report(time);
+    // The old holder is paused between its plan and its sends; the new one acts meanwhile.
+    const auto late = old_holder.plan(1, all.fleet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, late.size());
+    (void)new_holder.plan(2, all.fleet);
+    time.advance(60_s);
+    run_once(new_holder, all, time, 2);
+    CPPUNIT_ASSERT_EQUAL(2, all.loads);
+    for (const auto& order : late) {
+      CPPUNIT_ASSERT(!old_holder.still_needed(order, all.observe(order)));
+      const auto end = all.send(order);
+      CPPUNIT_ASSERT_EQUAL(check, end == order_end::refused_old_number);
+    }
+    time.advance(60_s);
+    all.report(time);
+    CPPUNIT_ASSERT(old_holder.plan(1, all.fleet).empty());
+  }
+}
+
+TEST_THAT(order_planner, drops_an_order_that_the_observation_before_it_shows_done) {
+  stepped_clock time;
+  engines all(2);
+  order_planner planner(two_of_m(), time);
+  all.report(time);
+  (void)planner.plan(1, all.fleet);
+  time.advance(60_s);
+  all.report(time);
+  const auto orders = planner.plan(1, all.fleet);
+  all.at(0).serves = {"m"};
+  CPPUNIT_ASSERT(!planner.still_needed(orders.at(0), all.observe(orders.at(0))));
+  CPPUNIT_ASSERT(planner.still_needed(orders.at(1), all.observe(orders.at(1))));
+}
+
+}  // namespace
+}  // namespace hawthornnotch::lease
