--- a/include/hawthornnotch/platform/http_client.h
+++ b/include/hawthornnotch/platform/http_client.h
@@ -27,9 +27,9 @@
 
 /// A client of the published subset listed in docs/design/0007-platform-protocol.md.
 ///
-/// A call goes to the next address only while nothing of it has left this process, so one call takes
-/// effect at most once.  A watch is not reopened: its failure, a silence or a compacted history ends
-/// it with a failure, and the caller reads and watches again.
+/// A call goes to the next address only while nothing of it has left this process, so one call
+/// takes effect at most once.  A watch is not reopened: its failure, a silence or a compacted
+/// history ends it with a failure, and the caller reads and watches again.
 ///
 /// Example:
 ///     auto made = http_platform_client::create(executor, {{"127.0.0.1", 2379}}, {}, http);
--- a/src/platform/gateway_json.cpp
+++ b/src/platform/gateway_json.cpp
@@ -17,37 +17,36 @@
 constexpr std::int64_t ms_per_second = 1000;
 
 json::object condition_json(const condition& wanted) {
-  return std::visit(
-      overloaded{[](const must_be_absent& absent) {
-                   return json::object{{"key", encode_base64(absent.key)},
-                                       {"target", "CREATE"},
-                                       {"result", "EQUAL"},
-                                       {"create_revision", "0"}};
-                 },
-                 [](const must_be_unchanged& unchanged) {
-                   return json::object{{"key", encode_base64(unchanged.key)},
-                                       {"target", "MOD"},
-                                       {"result", "EQUAL"},
-                                       {"mod_revision", std::to_string(unchanged.mod_revision)}};
-                 }},
-      wanted);
+  return std::visit(overloaded{[](const must_be_absent& absent) {
+                                 return json::object{{"key", encode_base64(absent.key)},
+                                                     {"target", "CREATE"},
+                                                     {"result", "EQUAL"},
+                                                     {"create_revision", "0"}};
+                               },
+                               [](const must_be_unchanged& unchanged) {
+                                 return json::object{
+                                     {"key", encode_base64(unchanged.key)},
+                                     {"target", "MOD"},
+                                     {"result", "EQUAL"},
+                                     {"mod_revision", std::to_string(unchanged.mod_revision)}};
+                               }},
+                    wanted);
 }
 
 json::object effect_json(const effect& wanted) {
-  return std::visit(
-      overloaded{[](const put& change) {
-                   json::object body{{"key", encode_base64(change.key)},
-                                     {"value", encode_base64(change.value)}};
-                   if (change.lease != 0) {
-                     body["lease"] = std::to_string(change.lease);
-                   }
-                   return json::object{{"request_put", std::move(body)}};
-                 },
-                 [](const erase& change) {
-                   json::object body{{"key", encode_base64(change.key)}};
-                   return json::object{{"request_delete_range", std::move(body)}};
-                 }},
-      wanted);
+  return std::visit(overloaded{[](const put& change) {
+                                 json::object body{{"key", encode_base64(change.key)},
+                                                   {"value", encode_base64(change.value)}};
+                                 if (change.lease != 0) {
+                                   body["lease"] = std::to_string(change.lease);
+                                 }
+                                 return json::object{{"request_put", std::move(body)}};
+                               },
+                               [](const erase& change) {
+                                 json::object body{{"key", encode_base64(change.key)}};
+                                 return json::object{{"request_delete_range", std::move(body)}};
+                               }},
+                    wanted);
 }
 
 // Reads the JSON form of protocol buffers: a field left out has its default value, and 64-bit
--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -246,10 +246,7 @@
  public:
   gateway_client(asio::any_io_executor executor, std::vector<endpoint> addresses,
                  call_limits limits, net::http_client& http)
-      : executor_(std::move(executor)),
-        book_(std::move(addresses)),
-        limits_(limits),
-        http_(http) {}
+      : executor_(std::move(executor)), book_(std::move(addresses)), limits_(limits), http_(http) {}
 
   void transact(transaction what, transaction_callback done) override {
     call<transaction_outcome>(make_call("/v3/kv/txn", transaction_body(what)), parse_transaction,
@@ -294,8 +291,7 @@
 
   std::unique_ptr<watch_handle> watch(std::string prefix, std::int64_t revision,
                                       watch_callback events) override {
-    auto task =
-        std::make_shared<watch_task>(executor_, http_, book_, limits_, std::move(events));
+    auto task = std::make_shared<watch_task>(executor_, http_, book_, limits_, std::move(events));
     task->start(make_call("/v3/watch", watch_body(prefix, revision + 1)));
     return std::make_unique<task_handle>(std::move(task));
   }
