--- a/include/hawthornnotch/standin/program.h
+++ b/include/hawthornnotch/standin/program.h
@@ -48,6 +48,9 @@
 /// \returns the object, empty if the text is not one.
 boost::json::object object_of(std::string_view text);
 
+/// Sends a whole answer; a peer that has gone is no concern of a stand-in.
+boost::asio::awaitable<void> reply(net::response_writer& writer, net::http_response response);
+
 boost::asio::awaitable<void> sleep_for(std::chrono::microseconds span);
 
 /// Serves on `--listen` until SIGINT or SIGTERM.  \returns the program's exit code.
--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -138,7 +138,7 @@
  private:
   static awaitable<void> run(std::shared_ptr<watch_task> self, net::http_request request) {
     co_await asio::post(self->strand_, asio::use_awaitable);
-    auto opened = co_await self->open(std::move(request));
+    auto opened = co_await self->open(request);
     if (!opened) {
       self->end(opened.last_reason());
       co_return;
@@ -154,7 +154,7 @@
   }
 
   awaitable<result<std::unique_ptr<net::response_stream>, platform_failure>> open(
-      net::http_request request) {
+      const net::http_request& request) {
     net::exchange_limits limits;
     limits.connect_timeout = limits_.connect_timeout;
     limits.head_timeout = limits_.answer_timeout;
@@ -318,7 +318,7 @@
   awaitable<void> run(net::http_request request, parser<T> parse, callback<T> done) {
     // Never inside the call itself, also when the caller runs on this executor.
     co_await asio::post(executor_, asio::use_awaitable);
-    auto answer = co_await fetch(std::move(request));
+    auto answer = co_await fetch(request);
     if (!answer) {
       done(failed{answer.last_reason()});
       co_return;
@@ -335,7 +335,7 @@
     done(std::move(*outcome));
   }
 
-  awaitable<result<net::http_response, platform_failure>> fetch(net::http_request request) {
+  awaitable<result<net::http_response, platform_failure>> fetch(const net::http_request& request) {
     net::exchange_limits limits;
     limits.connect_timeout = limits_.connect_timeout;
     limits.head_timeout = limits_.answer_timeout;
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -106,7 +106,7 @@
       co_return;
     }
     net::http_response answer = answer_at_once(request);
-    co_await writer.send(std::move(answer));
+    co_await reply(writer, std::move(answer));
   }
 
  private:
@@ -174,7 +174,7 @@
     if (!model.empty() && (kind == "load_model" || kind == "unload_model")) {
       answer = co_await carry_out(kind == "load_model", model, fencing);
     }
-    co_await writer.send(std::move(answer));
+    co_await reply(writer, std::move(answer));
   }
 
   awaitable<net::http_response> carry_out(bool load_it, std::string model, std::int64_t fencing) {
@@ -200,12 +200,12 @@
       const bool not_json = parsed.last_reason() == request_fault::not_json;
       net::http_response refusal =
           error_answer(400, "invalid_request_error", not_json ? "not JSON" : "no prompt");
-      co_await writer.send(std::move(refusal));
+      co_await reply(writer, std::move(refusal));
       co_return;
     }
     if (!models_.contains(parsed->model)) {
       net::http_response refusal = error_answer(404, "not_found_error", "no such model");
-      co_await writer.send(std::move(refusal));
+      co_await reply(writer, std::move(refusal));
       co_return;
     }
     job work{std::move(*parsed),
--- a/src/standin/faults.cpp
+++ b/src/standin/faults.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/json/parse.hpp>
+#include <tuple>
 #include <utility>
 
 #include "hawthornnotch/standin/program.h"
@@ -49,8 +50,9 @@
     if (!plan_.cut_after) {
       co_return co_await inner_.send(std::move(response));
     }
-    co_await inner_.start(response.status, std::move(response.headers));
-    co_await inner_.write(std::string_view(response.body).substr(0, response.body.size() / 2));
+    std::ignore = co_await inner_.start(response.status, std::move(response.headers));
+    std::ignore =
+        co_await inner_.write(std::string_view(response.body).substr(0, response.body.size() / 2));
     inner_.abort();
     co_return failed{cut_off()};
   }
@@ -106,14 +108,14 @@
 boost::asio::awaitable<void> flood(std::uint64_t bytes, net::response_writer& writer) {
   const std::string piece(flood_piece_bytes, 'x');
   net::header_list headers;
-  co_await writer.start(200, std::move(headers));
+  std::ignore = co_await writer.start(200, std::move(headers));
   for (std::uint64_t sent = 0; sent < bytes; sent += piece.size()) {
     auto written = co_await writer.write(piece);
     if (!written) {
       co_return;
     }
   }
-  co_await writer.finish();
+  std::ignore = co_await writer.finish();
 }
 
 boost::asio::awaitable<void> answer_faultily(std::shared_ptr<fault_switches> faults,
@@ -130,12 +132,12 @@
   }
   if (plan.refuse_status) {
     net::http_response refusal = json_answer(*plan.refuse_status, R"({"error":"refused"})");
-    co_await writer.send(std::move(refusal));
+    co_await reply(writer, std::move(refusal));
     co_return;
   }
   if (plan.rubbish) {
     net::http_response rubbish = json_answer(200, "\x01{{not json");
-    co_await writer.send(std::move(rubbish));
+    co_await reply(writer, std::move(rubbish));
     co_return;
   }
   if (plan.flood_bytes) {
@@ -154,7 +156,7 @@
                                     net::response_writer& writer) {
   if (request.target == "/standin/fault") {
     net::http_response done = faults->set(request.body);
-    co_await writer.send(std::move(done));
+    co_await reply(writer, std::move(done));
   } else if (request.target.starts_with("/standin/")) {
     co_await inner(std::move(request), writer);
   } else {
--- a/src/standin/kv_store.cpp
+++ b/src/standin/kv_store.cpp
@@ -100,7 +100,7 @@
 void kv_store::expire() {
   std::vector<std::int64_t> ended;
   for (const auto& [id, lease] : leases_) {
-    if (lease.ends <= time_.now()) {
+    if (lease.ends.ms <= time_.now().ms) {
       ended.push_back(id);
     }
   }
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -9,6 +9,7 @@
 #include <boost/json/serialize.hpp>
 #include <deque>
 #include <list>
+#include <tuple>
 #include <utility>
 
 #include "hawthornnotch/platform/base64.h"
@@ -92,7 +93,7 @@
     }
     net::http_response answer = answer_at_once(request);
     wake_watches();
-    co_await writer.send(std::move(answer));
+    co_await reply(writer, std::move(answer));
   }
 
  private:
@@ -141,12 +142,16 @@
 
   void count(std::string_view kind) { calls_.add(kind); }
 
+  bool seen_by_now(time_point changed) const {
+    return (changed + options_.list_lag).ms <= time_.now().ms;
+  }
+
   // The newest list that is older than the lag.
   std::string listed() {
-    while (lists_.size() > 1 && lists_[1].first + options_.list_lag <= time_.now()) {
+    while (lists_.size() > 1 && seen_by_now(lists_[1].first)) {
       lists_.pop_front();
     }
-    const bool seen = !lists_.empty() && lists_.front().first + options_.list_lag <= time_.now();
+    const bool seen = !lists_.empty() && seen_by_now(lists_.front().first);
     return seen ? lists_.front().second : "[]";
   }
 
@@ -293,7 +298,7 @@
     if (wanted == nullptr) {
       net::http_response refusal =
           error_answer(400, grpc_code::invalid_argument, "no create_request");
-      co_await writer.send(std::move(refusal));
+      co_await reply(writer, std::move(refusal));
       co_return;
     }
     const std::int64_t asked = integer_of(*wanted, "start_revision");
@@ -307,9 +312,9 @@
     });
     net::header_list headers;
     headers.emplace_back("Content-Type", "application/json");
-    co_await writer.start(200, std::move(headers));
+    std::ignore = co_await writer.start(200, std::move(headers));
     const std::string created = line({{"created", true}});
-    co_await writer.write(created);
+    std::ignore = co_await writer.write(created);
     co_await follow(range_of(*wanted), start, timer, gone, writer);
     watches_.erase(place);
   }
@@ -325,8 +330,8 @@
       if (!events) {
         const std::string compacted = line(
             {{"canceled", true}, {"compact_revision", std::to_string(store_.oldest_revision())}});
-        co_await writer.write(compacted);
-        co_await writer.finish();
+        std::ignore = co_await writer.write(compacted);
+        std::ignore = co_await writer.finish();
         co_return;
       }
       next = store_.revision() + 1;
--- a/src/standin/program.cpp
+++ b/src/standin/program.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <sstream>
+#include <tuple>
 
 #include "hawthornnotch/config/json_reader.h"
 
@@ -130,6 +131,10 @@
   return std::move(parsed.as_object());
 }
 
+boost::asio::awaitable<void> reply(net::response_writer& writer, net::http_response response) {
+  std::ignore = co_await writer.send(std::move(response));
+}
+
 boost::asio::awaitable<void> sleep_for(std::chrono::microseconds span) {
   boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, span);
   boost::system::error_code ignored;
--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -34,7 +34,7 @@
     if (request.target == "/standin/counters") {
       boost::json::object counters{{"requests", requests_}, {"runs_by_key", runs_.to_json()}};
       net::http_response answer = standin::json_answer(200, boost::json::serialize(counters));
-      co_await writer.send(std::move(answer));
+      co_await standin::reply(writer, std::move(answer));
       co_return;
     }
     ++requests_;
@@ -50,7 +50,7 @@
     if (auto id = request.header("x-request-id")) {
       answer.headers.emplace_back("x-request-id", *id);
     }
-    co_await writer.send(std::move(answer));
+    co_await standin::reply(writer, std::move(answer));
   }
 
  private:
