--- /dev/null
+++ b/src/observe/summary.h
@@ -0,0 +1,48 @@
+/// \file
+/// Sum, count and quantiles of one series.
+#ifndef HAWTHORNNOTCH_SRC_OBSERVE_SUMMARY_H_
+#define HAWTHORNNOTCH_SRC_OBSERVE_SUMMARY_H_
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <cstdint>
+
+namespace hawthornnotch::observe {
+
+/// The quantiles that a summary keeps.
+inline constexpr std::array<double, 3> summary_probabilities = {0.5, 0.95, 0.99};
+
+/// Running statistics of a series in constant memory: exact while there are few values, by the
+/// P-square method afterwards.
+///
+/// Example: `summary waits; waits.add(12.5); double p95 = waits.quantile(1);`
+/// Ownership: a value.  Thread safety: none.
+class summary {
+ public:
+  summary();
+  void add(double value);
+  [[nodiscard]] std::uint64_t count() const;
+  [[nodiscard]] double sum() const;
+  /// \param index into `summary_probabilities`; \returns 0 where there is no value.
+  [[nodiscard]] double quantile(std::size_t index) const;
+
+ private:
+  using totals = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum>>;
+  using estimator = boost::accumulators::accumulator_set<
+      double, boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
+  static constexpr std::size_t exact_values = 64;
+
+  totals totals_;
+  std::array<estimator, summary_probabilities.size()> estimators_;
+  std::array<double, exact_values> first_{};
+};
+
+}  // namespace hawthornnotch::observe
+
+#endif  // HAWTHORNNOTCH_SRC_OBSERVE_SUMMARY_H_
