--- a/include/hawthornnotch/load/results.h
+++ b/include/hawthornnotch/load/results.h
@@ -50,6 +50,8 @@
   std::optional<duration> between_tokens;
   duration completion;
   std::uint32_t tokens = 0;
+  /// Second of the run in which the answer ended.
+  std::uint32_t ended_second = 0;
   /// Tokens by the second of the run in which they came.
   std::vector<std::pair<std::uint32_t, std::uint32_t>> tokens_by_second;
 };
