--- a/include/hawthornnotch/member/membership.h
+++ b/include/hawthornnotch/member/membership.h
@@ -88,6 +88,8 @@
   void exchange_failed(const peer_contact& peer);
   /// This VM leaves; peers are told with the next exchange.
   void leave() { peers_.leave(); }
+  /// This VM shares again after `leave`, as a new start.
+  void rejoin() { peers_.rejoin(); }
 
   /// Rises with every change of `snapshot` or `workspaces`.
   [[nodiscard]] std::uint64_t version() const { return facts_.version() + load_changes_; }
--- a/include/hawthornnotch/member/peer_table.h
+++ b/include/hawthornnotch/member/peer_table.h
@@ -61,8 +61,10 @@
   void exchange_succeeded(const std::string& vm);
   /// Raises the own heartbeat, suspects the silent, confirms and expires.
   void begin_round();
-  /// This VM leaves for good.
+  /// This VM leaves; only `rejoin` takes it back.
   void leave();
+  /// This VM counts as started anew.
+  void rejoin();
 
   [[nodiscard]] const vm_record& self() const { return self_; }
   [[nodiscard]] std::uint64_t beat() const { return beat_; }
--- a/src/member/peer_table.cpp
+++ b/src/member/peer_table.cpp
@@ -131,6 +131,13 @@
   }
 }
 
+void peer_table::rejoin() {
+  ++beat_;
+  self_.started = beat_;
+  self_.vm.leaving = false;
+  changed(self_.vm.id, {});
+}
+
 bool peer_table::silent(const state& known) const {
   return time_.now() - known.last_heard > settings_.suspect_after;
 }
--- a/src/rpc/rpc_client.cpp
+++ b/src/rpc/rpc_client.cpp
@@ -1,6 +1,7 @@
 #include "hawthornnotch/rpc/rpc_client.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
@@ -70,7 +71,8 @@
     limits.body_bytes = settings_.answer_bytes;
     net::http_request message{"POST", "/rpc", {{"Content-Type", "application/json"}}, request};
     auto exchange = fetch(to, std::move(message), limits);
-    const auto response = asio::co_spawn(executor_, std::move(exchange), asio::use_future).get();
+    const auto response =
+        asio::co_spawn(asio::make_strand(executor_), std::move(exchange), asio::use_future).get();
     if (!response || !response->has_value() || (*response)->status != status_ok) {
       return false;
     }
