--- a/include/hawthornnotch/platform/vm_list.h
+++ b/include/hawthornnotch/platform/vm_list.h
@@ -4,17 +4,16 @@
 #define HAWTHORNNOTCH_PLATFORM_VM_LIST_H_
 
 #include <functional>
-#include <variant>
 #include <vector>
 
 #include "hawthornnotch/base/result.h"
-#include "hawthornnotch/member/fleet.h"
+#include "hawthornnotch/member/fleet_codec.h"
 #include "hawthornnotch/platform/client.h"
 
 namespace hawthornnotch::platform {
 
 /// One VM of the list; its member `leaving` is set from the listed state.
-using listed_vm = std::variant<backend_server, entry_vm>;
+using listed_vm = fleet_vm;
 
 using vm_list_callback = std::function<void(result<std::vector<listed_vm>, platform_failure>)>;
 
--- /dev/null
+++ b/src/ctl/in_force.cpp
@@ -0,0 +1,67 @@
+#include "hawthornnotch/ctl/in_force.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "hawthornnotch/config/json_reader.h"
+#include "hawthornnotch/member/fleet_codec.h"
+
+namespace hawthornnotch::ctl {
+namespace {
+
+bool reached(const agent_state& state, std::uint64_t revision) {
+  return state.revision && *state.revision >= revision;
+}
+
+std::string_view word_for(const agent_state& state, std::uint64_t revision) {
+  if (!state.revision) {
+    return "unreachable";
+  }
+  return reached(state, revision) ? "in force" : "behind";
+}
+
+}  // namespace
+
+std::optional<std::uint64_t> revision_in_dump(std::string_view dump, std::string_view workspace) {
+  const auto object = parse_object(dump);
+  const boost::json::value* revisions = object ? object->if_contains("revisions") : nullptr;
+  if (revisions == nullptr || !revisions->is_object()) {
+    return {};
+  }
+  const boost::json::value* revision = revisions->as_object().if_contains(workspace);
+  if (revision == nullptr) {
+    return 0;
+  }
+  boost::system::error_code error;
+  const auto number = revision->to_number<std::uint64_t>(error);
+  return error ? std::nullopt : std::optional(number);
+}
+
+std::vector<agent_state> not_reached(const std::vector<agent_state>& states,
+                                     std::uint64_t revision) {
+  std::vector<agent_state> missing;
+  std::copy_if(states.begin(), states.end(), std::back_inserter(missing),
+               [revision](const agent_state& state) { return !reached(state, revision); });
+  return missing;
+}
+
+table describe(const std::vector<agent_state>& states, std::uint64_t revision) {
+  table shown{{"failure_domain", "agent", "revision", "state"}, {}};
+  for (const agent_state& state : states) {
+    shown.rows.push_back({state.failure_domain, to_string(state.agent),
+                          state.revision ? std::to_string(*state.revision) : "-",
+                          std::string(word_for(state, revision))});
+  }
+  return shown;
+}
+
+std::string names_of(const std::vector<agent_state>& states) {
+  std::string names;
+  for (const agent_state& state : states) {
+    names += names.empty() ? "" : ", ";
+    names += state.failure_domain + " (" + to_string(state.agent) + ")";
+  }
+  return names;
+}
+
+}  // namespace hawthornnotch::ctl
--- /dev/null
+++ b/src/ctl/settings.cpp
@@ -0,0 +1,62 @@
+#include "hawthornnotch/ctl/settings.h"
+
+#include <boost/json/serialize.hpp>
+
+namespace hawthornnotch::ctl {
+namespace {
+
+constexpr integer_range any_timeout_ms{1, 600'000};
+
+std::vector<endpoint> read_endpoints(json_reader& reader, std::string_view key, bool required) {
+  std::vector<endpoint> list;
+  for (const std::string& text : reader.texts(key, required)) {
+    const auto parsed = parse_endpoint(text);
+    if (parsed) {
+      list.push_back(*parsed);
+    } else {
+      reader.fail({settings_fault::out_of_range, reader.path_of(key), text, "address:port"});
+    }
+  }
+  if (required && list.empty()) {
+    reader.fail({settings_fault::out_of_range, reader.path_of(key), "[]", "at least one address"});
+  }
+  return list;
+}
+
+void read_domains(json_reader& reader, settings& into) {
+  const boost::json::object* domains = reader.object("failure_domains");
+  if (domains == nullptr) {
+    return;
+  }
+  for (const auto& [name, value] : *domains) {
+    const std::string path = reader.path_of("failure_domains") + "." + std::string(name);
+    if (!value.is_object()) {
+      reader.fail({settings_fault::wrong_type, path, boost::json::serialize(value), "an object"});
+      return;
+    }
+    json_reader nested(value.as_object(), path);
+    domain_processes& processes = into.failure_domains[std::string(name)];
+    processes.agents = read_endpoints(nested, "agents", false);
+    processes.routers = read_endpoints(nested, "routers", false);
+    if (auto failure = nested.finish()) {
+      reader.fail(*failure);
+    }
+  }
+}
+
+}  // namespace
+
+result<settings, settings_failure> parse_settings(const boost::json::object& object) {
+  json_reader reader(object, "");
+  settings into;
+  into.platform = read_endpoints(reader, "platform", true);
+  read_domains(reader, into);
+  into.call_timeout = reader.milliseconds("call_timeout_ms", any_timeout_ms, into.call_timeout);
+  into.wait = reader.milliseconds("wait_ms", any_timeout_ms, into.wait);
+  if (auto failure = reader.finish()) {
+    return failed{*failure};
+  }
+  return into;
+}
+
+}  // namespace hawthornnotch::ctl
--- a/src/platform/gateway_json.cpp
+++ b/src/platform/gateway_json.cpp
@@ -207,12 +207,15 @@
   return server;
 }
 
-listed_vm read_entry_vm(message_reader& reader) {
+listed_vm read_entry_vm(const json::object& object, message_reader& reader) {
   entry_vm vm;
   vm.id = reader.text("id");
   vm.incarnation = reader.text("incarnation");
   vm.failure_domain = reader.text("failure_domain");
   vm.agent = read_endpoint(reader, "address");
+  if (object.contains("router")) {
+    vm.router = read_endpoint(reader, "router");
+  }
   vm.leaving = read_leaving(reader);
   return vm;
 }
@@ -222,7 +225,8 @@
   const std::string role = reader.text("role");
   reader.check(role == "backend" || role == "entry");
   reader.check(!reader.text("id").empty());
-  listed_vm vm = role == "entry" ? read_entry_vm(reader) : read_backend_server(object, reader);
+  listed_vm vm =
+      role == "entry" ? read_entry_vm(object, reader) : read_backend_server(object, reader);
   return reader.sound() ? std::optional(std::move(vm)) : std::nullopt;
 }
 
