--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -235,6 +235,22 @@
   }
 }
 
+// Without agents to ask, a wait would end at once and prove nothing.
+std::optional<command_failure> refuse_wait(const config_set& what, const change& wanted,
+                                           const settings& with) {
+  if (!what.wait) {
+    return {};
+  }
+  if (wanted.subject.what == config_subject::kind::traffic_template) {
+    return command_failure{exit_code::bad_input,
+                           "--wait: a template is in force where a workspace is set from it again"};
+  }
+  if (with.failure_domains.empty()) {
+    return command_failure{exit_code::bad_input, "--wait: the settings name no failure domains"};
+  }
+  return {};
+}
+
 command_result accepted(const edit_accepted& how, const config_set& what, const change& wanted,
                         session& remote) {
   if (what.wait) {
@@ -303,9 +319,8 @@
   if (!wanted) {
     return failed{wanted.last_reason()};
   }
-  if (what.wait && wanted->subject.what == config_subject::kind::traffic_template) {
-    return fail(exit_code::bad_input,
-                "--wait: a template is in force where a workspace is set from it again");
+  if (auto refused = refuse_wait(what, *wanted, remote.with())) {
+    return failed{std::move(*refused)};
   }
   const auto base = base_of(what, *wanted, edits);
   if (!base) {
@@ -324,9 +339,9 @@
     return fail(subject, stored.last_reason());
   }
   const auto states = ask_agents(what.workspace, remote);
-  const auto missing = not_reached(states, stored->revision);
+  const bool everywhere = !states.empty() && not_reached(states, stored->revision).empty();
   return report{describe(states, stored->revision),
-                missing.empty() ? exit_code::done : exit_code::not_in_time,
+                everywhere ? exit_code::done : exit_code::not_in_time,
                 "accepted revision: " + std::to_string(stored->revision)};
 }
 
--- a/src/ctl/process_commands.cpp
+++ b/src/ctl/process_commands.cpp
@@ -92,7 +92,7 @@
                     (sent ? "; the same command may be repeated" : ""));
   }
   if (answer->status != status_ok && answer->status != status_accepted) {
-    return fail(exit_code::conflict,
+    return fail(answer->status == status_not_found ? exit_code::absent : exit_code::conflict,
                 to_string(what.address) + " answered " + std::to_string(answer->status));
   }
   table shown{{"process", "state"}, {{to_string(what.address), "draining"}}};
--- a/src/ctl/report.cpp
+++ b/src/ctl/report.cpp
@@ -38,6 +38,8 @@
       separator = ",\n";
     }
     out << "\n" << outer << "]";
+  } else if (value.is_double()) {
+    out << value.as_double();
   } else {
     out << json::serialize(value);
   }
--- a/src/ctl/settings.cpp
+++ b/src/ctl/settings.cpp
@@ -36,7 +36,7 @@
     }
     json_reader nested(value.as_object(), path);
     domain_processes& processes = into.failure_domains[std::string(name)];
-    processes.agents = read_endpoints(nested, "agents", false);
+    processes.agents = read_endpoints(nested, "agents", true);
     processes.routers = read_endpoints(nested, "routers", false);
     if (auto failure = nested.finish()) {
       reader.fail(*failure);
--- /dev/null
+++ b/tests/ctl/commands_test.cpp
@@ -0,0 +1,190 @@
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+
+#include "hawthornnotch/ctl/run.h"
+#include "hawthornnotch/net/http_server.h"
+#include "standin_platform.h"
+#include "test_case.h"
+
+namespace {
+
+using namespace hawthornnotch;
+using namespace hawthornnotch::ctl;
+
+// A file that is there as long as the object.
+class given_file {
+ public:
+  explicit given_file(const std::string& text) { std::ofstream(path_) << text; }
+  given_file(const given_file&) = delete;
+  given_file& operator=(const given_file&) = delete;
+  ~given_file() { std::remove(path_.c_str()); }
+  [[nodiscard]] const std::string& path() const { return path_; }
+
+ private:
+  static inline std::atomic<int> made{0};
+  std::string path_ = "ctl_test_" + std::to_string(::getpid()) + "_" + std::to_string(made++);
+};
+
+// An agent whose dump reports a higher revision each time it is asked.
+class catching_up_agent {
+ public:
+  catching_up_agent() {
+    auto made = net::http_server::listen(
+        context_.get_executor(), {"127.0.0.1", 0}, {},
+        [this](net::http_request, net::response_writer& writer) { return answer(writer); });
+    server_ = std::move(*made);
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  catching_up_agent(const catching_up_agent&) = delete;
+  catching_up_agent& operator=(const catching_up_agent&) = delete;
+  ~catching_up_agent() {
+    context_.stop();
+    thread_.join();
+  }
+  [[nodiscard]] endpoint address() const { return {"127.0.0.1", server_->port()}; }
+  [[nodiscard]] int asked() const { return asked_; }
+
+ private:
+  boost::asio::awaitable<void> answer(net::response_writer& writer) {
+    net::http_response dump;
+    dump.body = R"({"revisions":{"bayangol-office":)" + std::to_string(asked_++) + "}}";
+    [[maybe_unused]] const auto sent = co_await writer.send(std::move(dump));
+  }
+
+  boost::asio::io_context context_;
+  std::atomic<int> asked_{0};
+  std::unique_ptr<net::http_server> server_;
+  std::thread thread_;
+};
+
+struct ended {
+  exit_code code;
+  std::string out;
+  std::string err;
+};
+
+ended run_command(command what, const settings& with) {
+  std::ostringstream out;
+  std::ostringstream err;
+  const exit_code code =
+      run(command_line{std::move(what), "", output_format::table}, with, out, err, false);
+  return {code, out.str(), err.str()};
+}
+
+settings settings_for(const test::standin_platform& platform) {
+  settings with;
+  with.platform = {platform.address()};
+  with.wait = {500};
+  return with;
+}
+
+constexpr auto workspace_text =
+    R"({"workspace":"bayangol-office","default_class":"lookup",
+        "classes":[{"name":"lookup","tier":0,"completion_ms":900}]})";
+constexpr auto vm_text =
+    R"({"kind":"backend_server","id":"b1","incarnation":"i1","failure_domain":"bayangol",
+        "address":"127.0.0.1:81","serves":["m"]})";
+
+TEST_THAT(set_command, waits_until_the_agents_report_the_revision) {
+  auto platform = test::standin_platform::start();
+  catching_up_agent agent;
+  settings with = settings_for(*platform);
+  with.wait = {60'000};
+  with.failure_domains["bayangol"].agents = {agent.address()};
+  const given_file file(workspace_text);
+  const ended set = run_command(config_set{file.path(), {}, true}, with);
+  CPPUNIT_ASSERT_MESSAGE(set.err, set.code == exit_code::done);
+  CPPUNIT_ASSERT_EQUAL(2, agent.asked());
+}
+
+TEST_THAT(set_command, names_the_failure_domain_that_is_not_reached_in_time) {
+  auto platform = test::standin_platform::start();
+  settings with = settings_for(*platform);
+  with.failure_domains["khan-uul"].agents = {test::closed_address()};
+  const given_file file(workspace_text);
+  const ended set = run_command(config_set{file.path(), {}, true}, with);
+  CPPUNIT_ASSERT(set.code == exit_code::not_in_time);
+  CPPUNIT_ASSERT(set.err.find("khan-uul") != std::string::npos);
+}
+
+TEST_THAT(set_command, refuses_to_wait_where_it_could_ask_nobody) {
+  auto platform = test::standin_platform::start();
+  const given_file file(workspace_text);
+  const ended set = run_command(config_set{file.path(), {}, true}, settings_for(*platform));
+  CPPUNIT_ASSERT(set.code == exit_code::bad_input);
+  const ended show = run_command(config_show{"bayangol-office", false}, settings_for(*platform));
+  CPPUNIT_ASSERT(show.code == exit_code::absent);
+}
+
+TEST_THAT(set_command, conflicts_for_the_later_of_two_from_the_same_revision) {
+  auto platform = test::standin_platform::start();
+  const settings with = settings_for(*platform);
+  const given_file file(workspace_text);
+  CPPUNIT_ASSERT(run_command(config_set{file.path(), 0, false}, with).code == exit_code::done);
+  const ended second = run_command(config_set{file.path(), 0, false}, with);
+  CPPUNIT_ASSERT(second.code == exit_code::conflict);
+  CPPUNIT_ASSERT(second.err.find("current revision 1") != std::string::npos);
+}
+
+TEST_THAT(set_command, takes_back_what_show_printed) {
+  auto platform = test::standin_platform::start();
+  const settings with = settings_for(*platform);
+  const given_file file(workspace_text);
+  CPPUNIT_ASSERT(run_command(config_set{file.path(), {}, false}, with).code == exit_code::done);
+  const given_file printed(run_command(config_show{"bayangol-office", false}, with).out);
+  CPPUNIT_ASSERT(run_command(config_set{printed.path(), {}, false}, with).code == exit_code::done);
+  const ended stale = run_command(config_set{printed.path(), {}, false}, with);
+  CPPUNIT_ASSERT(stale.code == exit_code::conflict);
+}
+
+TEST_THAT(announce_command, is_whole_after_a_lost_answer) {
+  auto platform = test::standin_platform::start();
+  platform->fault(R"({"kind":"lose_answer","count":1,"path":"/v3/kv/txn"})");
+  const given_file file(vm_text);
+  const ended announce = run_command(vm_announce{file.path()}, settings_for(*platform));
+  CPPUNIT_ASSERT_MESSAGE(announce.err, announce.code == exit_code::done);
+  CPPUNIT_ASSERT(announce.out.find("announced") != std::string::npos);
+}
+
+TEST_THAT(announce_command, is_unknown_while_every_answer_is_lost) {
+  auto platform = test::standin_platform::start();
+  platform->fault(R"({"kind":"lose_request","path":"/v3/kv/txn"})");
+  const given_file file(vm_text);
+  const ended announce = run_command(vm_announce{file.path()}, settings_for(*platform));
+  CPPUNIT_ASSERT(announce.code == exit_code::unknown);
+}
+
+TEST_THAT(vm_commands, show_a_leaving_vm_and_keep_it_leaving) {
+  auto platform = test::standin_platform::start();
+  const settings with = settings_for(*platform);
+  const given_file file(vm_text);
+  CPPUNIT_ASSERT(run_command(vm_announce{file.path()}, with).code == exit_code::done);
+  CPPUNIT_ASSERT(run_command(vm_leave{"b1"}, with).code == exit_code::done);
+  CPPUNIT_ASSERT(run_command(vm_announce{file.path()}, with).code == exit_code::conflict);
+  const ended list = run_command(vm_list{}, with);
+  CPPUNIT_ASSERT(list.code == exit_code::done);
+  CPPUNIT_ASSERT(list.out.find("leaving") != std::string::npos);
+  CPPUNIT_ASSERT(run_command(vm_leave{"b2"}, with).code == exit_code::absent);
+}
+
+TEST_THAT(every_command, says_unreachable_where_nobody_listens) {
+  settings with;
+  with.platform = {test::closed_address()};
+  with.failure_domains["khan-uul"].routers = {test::closed_address()};
+  const command commands[] = {vm_list{}, vm_leave{"b1"}, process_dump{test::closed_address()},
+                              request_explain{"r1"}, process_drain{test::closed_address(), false}};
+  for (const command& what : commands) {
+    CPPUNIT_ASSERT(run_command(what, with).code == exit_code::unreachable);
+  }
+}
+
+}  // namespace
