--- a/include/hawthornnotch/ctl/in_force.h
+++ b/include/hawthornnotch/ctl/in_force.h
@@ -18,12 +18,15 @@
 struct agent_state {
   std::string failure_domain;
   endpoint agent;
-  /// Absent if the agent did not answer or answered rubbish; 0 if it knows no such workspace.
+  /// In force at the agent and its router; 0 if one of them knows no such workspace.  Absent if the
+  /// agent did not answer, answered rubbish or does not reach its router.
   std::optional<std::uint64_t> revision;
 };
 
-/// Reads the member `revisions` (workspace name to revision in force at the agent and its router)
-/// of an agent's dump.  \returns nothing if the dump has none.
+/// Reads the member `revisions` (workspace name to revision) of an agent's dump, and the same of
+/// its member `router`, which is what the router last said that it applies. \returns the lower of
+/// both; nothing if one of them is missing, as when the agent does not reach its
+///          router.
 std::optional<std::uint64_t> revision_in_dump(std::string_view dump, std::string_view workspace);
 
 /// \returns the agents that don't report `revision` or a later one.
--- a/src/ctl/in_force.cpp
+++ b/src/ctl/in_force.cpp
@@ -20,11 +20,9 @@
   return reached(state, revision) ? "in force" : "behind";
 }
 
-}  // namespace
-
-std::optional<std::uint64_t> revision_in_dump(std::string_view dump, std::string_view workspace) {
-  const auto object = parse_object(dump);
-  const boost::json::value* revisions = object ? object->if_contains("revisions") : nullptr;
+std::optional<std::uint64_t> revision_in(const boost::json::object& process,
+                                         std::string_view workspace) {
+  const boost::json::value* revisions = process.if_contains("revisions");
   if (revisions == nullptr || !revisions->is_object()) {
     return {};
   }
@@ -37,6 +35,22 @@
   return error ? std::nullopt : std::optional(number);
 }
 
+}  // namespace
+
+std::optional<std::uint64_t> revision_in_dump(std::string_view dump, std::string_view workspace) {
+  const auto object = parse_object(dump);
+  const boost::json::value* router = object ? object->if_contains("router") : nullptr;
+  if (router == nullptr || !router->is_object()) {
+    return {};
+  }
+  const auto known = revision_in(*object, workspace);
+  const auto applied = revision_in(router->as_object(), workspace);
+  if (!known || !applied) {
+    return {};
+  }
+  return std::min(*known, *applied);
+}
+
 std::vector<agent_state> not_reached(const std::vector<agent_state>& states,
                                      std::uint64_t revision) {
   std::vector<agent_state> missing;
--- a/src/ctl/session.cpp
+++ b/src/ctl/session.cpp
@@ -57,6 +57,7 @@
   std::vector<fetched> fetch_all(const std::vector<endpoint>& from,
                                  std::string_view target) override {
     std::vector<std::future<fetched>> asked;
+    asked.reserve(from.size());
     for (const endpoint& to : from) {
       asked.push_back(begin(to, "GET", target));
     }
--- a/tests/ctl/commands_test.cpp
+++ b/tests/ctl/commands_test.cpp
@@ -56,7 +56,9 @@
  private:
   boost::asio::awaitable<void> answer(net::response_writer& writer) {
     net::http_response dump;
-    dump.body = R"({"revisions":{"bayangol-office":)" + std::to_string(asked_++) + "}}";
+    const std::string revisions =
+        R"("revisions":{"bayangol-office":)" + std::to_string(asked_++) + "}";
+    dump.body = "{" + revisions + R"(,"router":{)" + revisions + "}}";
     [[maybe_unused]] const auto sent = co_await writer.send(std::move(dump));
   }
 
--- a/tests/ctl/decisions_test.cpp
+++ b/tests/ctl/decisions_test.cpp
@@ -40,11 +40,29 @@
 }
 
 TEST_THAT(revision_in_force, is_unknown_where_the_dump_does_not_tell) {
-  CPPUNIT_ASSERT(!revision_in_dump("rubbish", "w"));
-  CPPUNIT_ASSERT(!revision_in_dump("{}", "w"));
-  CPPUNIT_ASSERT(!revision_in_dump(R"({"revisions":{"w":"x"}})", "w"));
-  CPPUNIT_ASSERT(revision_in_dump(R"({"revisions":{}})", "w") == 0U);
-  CPPUNIT_ASSERT(revision_in_dump(R"({"revisions":{"w":7}})", "w") == 7U);
+  const char* silent[] = {
+      "rubbish",
+      "{}",
+      R"({"revisions":{"w":7}})",
+      R"({"revisions":{"w":7},"router":{"reached":false}})",
+      R"({"revisions":{"w":"x"},"router":{"revisions":{"w":7}}})",
+      R"({"router":{"revisions":{"w":7}}})",
+  };
+  for (const char* dump : silent) {
+    CPPUNIT_ASSERT_MESSAGE(dump, !revision_in_dump(dump, "w"));
+  }
+}
+
+TEST_THAT(revision_in_force, is_the_lower_of_the_agents_and_its_routers) {
+  const auto revision = [](const std::string& agent, const std::string& router) {
+    const std::string dump =
+        R"({"revisions":{)" + agent + R"(},"router":{"revisions":{)" + router + "}}}";
+    return revision_in_dump(dump, "w");
+  };
+  CPPUNIT_ASSERT(revision(R"("w":7)", R"("w":6)") == 6U);
+  CPPUNIT_ASSERT(revision(R"("w":7)", R"("w":7,"v":1)") == 7U);
+  CPPUNIT_ASSERT(revision(R"("w":7)", "") == 0U);
+  CPPUNIT_ASSERT(revision("", "") == 0U);
 }
 
 TEST_THAT(revision_in_force, names_each_agent_that_is_behind_or_silent) {
