--- a/include/hawthornnotch/base/clock.h
+++ b/include/hawthornnotch/base/clock.h
@@ -4,7 +4,6 @@
 #define HAWTHORNNOTCH_BASE_CLOCK_H_
 
 #include <atomic>
-#include <compare>
 #include <cstdint>
 
 namespace hawthornnotch {
@@ -12,7 +11,11 @@
 /// A span of time in whole milliseconds; may be negative.
 struct duration {
   std::int64_t ms = 0;
-  constexpr auto operator<=>(const duration&) const = default;
+  constexpr bool operator==(const duration&) const = default;
+  constexpr bool operator<(const duration& other) const { return ms < other.ms; }
+  constexpr bool operator>(const duration& other) const { return ms > other.ms; }
+  constexpr bool operator<=(const duration& other) const { return ms <= other.ms; }
+  constexpr bool operator>=(const duration& other) const { return ms >= other.ms; }
 };
 
 constexpr duration operator+(duration a, duration b) { return {a.ms + b.ms}; }
@@ -23,7 +26,11 @@
 /// A point in time: milliseconds since the clock's own origin.
 struct time_point {
   std::int64_t ms = 0;
-  constexpr auto operator<=>(const time_point&) const = default;
+  constexpr bool operator==(const time_point&) const = default;
+  constexpr bool operator<(const time_point& other) const { return ms < other.ms; }
+  constexpr bool operator>(const time_point& other) const { return ms > other.ms; }
+  constexpr bool operator<=(const time_point& other) const { return ms <= other.ms; }
+  constexpr bool operator>=(const time_point& other) const { return ms >= other.ms; }
 };
 
 constexpr duration operator-(time_point a, time_point b) { return {a.ms - b.ms}; }
--- a/include/hawthornnotch/load/schedule.h
+++ b/include/hawthornnotch/load/schedule.h
@@ -4,6 +4,7 @@
 #define HAWTHORNNOTCH_LOAD_SCHEDULE_H_
 
 #include <cstdint>
+#include <tuple>
 #include <vector>
 
 #include "hawthornnotch/base/clock.h"
@@ -23,7 +24,12 @@
   std::size_t router = 0;
   /// Length of the answer, tokens; 0 for services.
   std::uint32_t tokens = 0;
-  auto operator<=>(const planned_request&) const = default;
+  bool operator==(const planned_request&) const = default;
+  /// Orders by time, then so that equal schedules come out equal.
+  bool operator<(const planned_request& other) const {
+    return std::tie(at.ms, kind, number, is_repeat) <
+           std::tie(other.at.ms, other.kind, other.number, other.is_repeat);
+  }
 };
 
 struct schedule_settings {
--- a/src/observe/request_outcomes.cpp
+++ b/src/observe/request_outcomes.cpp
@@ -37,7 +37,9 @@
 struct class_key {
   std::string class_name;
   tier service_tier = 0;
-  auto operator<=>(const class_key&) const = default;
+  bool operator<(const class_key& other) const {
+    return std::tie(class_name, service_tier) < std::tie(other.class_name, other.service_tier);
+  }
 };
 
 struct shard {
