--- a/include/hawthornnotch/config/head.h
+++ b/include/hawthornnotch/config/head.h
@@ -18,7 +18,7 @@
 
   kind what = kind::workspace;
   std::string name;
-  auto operator<=>(const config_subject&) const = default;
+  auto operator<=>(const config_subject&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// The version of a subject that is in force.
--- a/src/claim/group_commit.cpp
+++ b/src/claim/group_commit.cpp
@@ -1,6 +1,7 @@
 #include "hawthornnotch/claim/group_commit.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -126,13 +127,13 @@
                                                      const std::vector<key_value>& current) {
   const std::lock_guard lock(mutex_);
   batch refused;
-  for (auto one = writes.rbegin(); one != writes.rend(); ++one) {
-    if (holds(one->what.guard, find_key(current, key_of(one->what.guard)))) {
-      queue_.push_front(std::move(*one));
-    } else {
-      refused.push_back(std::move(*one));
-    }
+  batch kept;
+  for (queued_write& one : writes) {
+    const bool may_go = holds(one.what.guard, find_key(current, key_of(one.what.guard)));
+    (may_go ? kept : refused).push_back(std::move(one));
   }
+  queue_.insert(queue_.begin(), std::make_move_iterator(kept.begin()),
+                std::make_move_iterator(kept.end()));
   return refused;
 }
 
--- a/src/config/edit_engine.cpp
+++ b/src/config/edit_engine.cpp
@@ -209,11 +209,9 @@
   const std::uint64_t current = what->head.pointer(what->subject).revision;
   if (decided != nullptr && decided->accepted) {
     finish(*what, edit_outcome{edit_accepted{decided->revision, what->edit_id}}, calls);
-  } else if (decided != nullptr) {
-    finish(*what, edit_outcome{edit_conflict{current}}, calls);
-  } else if (what->may_have_moved && is_too_old(what->head, what->edit_id)) {
+  } else if (decided == nullptr && what->may_have_moved && is_too_old(what->head, what->edit_id)) {
     finish(*what, edit_outcome{edit_unknown{what->edit_id}}, calls);
-  } else if (current != what->base_revision) {
+  } else if (decided != nullptr || current != what->base_revision) {
     finish(*what, edit_outcome{edit_conflict{current}}, calls);
   } else {
     if (what->edit_id.empty()) {
--- a/tests/support/stepped_platform.h
+++ b/tests/support/stepped_platform.h
@@ -79,6 +79,14 @@
     std::function<call_fault(const call_info&)> fault;
     // No answer arrives and no callback runs any more; what was sent still takes effect.
     void kill() { *alive_ = false; }
+    // Holds all callbacks until `resume`, as in a process that is stopped.
+    void pause() { held_->paused = true; }
+    void resume() {
+      held_->paused = false;
+      for (const auto& one : std::exchange(held_->callbacks, {})) {
+        one();
+      }
+    }
     // Ends all watches of this port with a failure.
     void break_watches() {
       auto broken = std::exchange(watchers_, {});
@@ -164,8 +172,10 @@
     }
     call_fault choose(const call_info& info) { return fault ? fault(info) : call_fault::none; }
     void deliver(duration wait, std::function<void()> what) {
-      store_.events_.after(wait, [alive = alive_, what = std::move(what)] {
-        if (*alive) {
+      store_.events_.after(wait, [alive = alive_, held = held_, what = std::move(what)] {
+        if (*alive && held->paused) {
+          held->callbacks.push_back(what);
+        } else if (*alive) {
           what();
         }
       });
@@ -252,7 +262,12 @@
     }
 
     stepped_platform& store_;
+    struct held_callbacks {
+      bool paused = false;
+      std::vector<std::function<void()>> callbacks;
+    };
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    std::shared_ptr<held_callbacks> held_ = std::make_shared<held_callbacks>();
     std::vector<std::shared_ptr<watcher>> watchers_;
   };
 
