--- a/tests/fault_matrix/matrix.h
+++ b/tests/fault_matrix/matrix.h
@@ -54,6 +54,8 @@
   bool reached = true;
   std::vector<std::string> violations;
   std::string outcome;
+  // Longest time from the acceptance of an edit until its last process had it.
+  duration in_force_after;
 };
 
 // How a port misbehaves for a while.
--- a/tests/support/stepped_platform.h
+++ b/tests/support/stepped_platform.h
@@ -182,7 +182,8 @@
     }
     void notify(const platform::watch_event& event) {
       const call_fault chosen = choose({call_kind::watch, event.now.key});
-      if (chosen == call_fault::request_lost || chosen == call_fault::answer_lost) {
+      if (chosen == call_fault::request_lost || chosen == call_fault::answer_lost ||
+          chosen == call_fault::refused) {
         return;
       }
       const duration wait =
