Divide windows by rank and give a stopped stream's place to its cause

Now a server's window is divided into whole requests by the router's rank in the rendezvous order, which adds up exactly; spare room is lent only while some peer has nothing waiting; and the request that caused a preemption starts on that server at once.

--- a/bench/policy_lab/experiment.cpp
+++ b/bench/policy_lab/experiment.cpp
@@ -33,6 +33,7 @@
 constexpr duration slow_to = 55_s;
 constexpr duration crash_at = 45_s;
 constexpr duration recover_at = 60_s;
+constexpr duration profile_part = 10_s;
 constexpr double slow_factor = 5.0;
 constexpr std::uint32_t slots = 8;
 constexpr double fastest_ms = 9.0;
@@ -71,6 +72,7 @@
   void on_event(const engine_event& event);
   void on_failed(caller_request& each, attempt_end end, double prefill);
   void finish(caller_request& each);
+  void count_top(const caller_request& each, bool in_target);
   void lose_patience();
   void change_faults();
   void publish();
@@ -104,7 +106,10 @@
   double useful_ = 0;
   double wasted_ = 0;
   double useful_tokens_ = 0;
-  double busy_ = 0;
+  double slots_up_ = 0;
+  double slots_taken_ = 0;
+  double waiting_ = 0;
+  double engine_steps_ = 0;
   experiment_result result_;
 };
 
@@ -152,6 +157,8 @@
   constexpr double ms_per_s = 1000.0;
   result_.useful_tokens_per_s = useful_tokens_ / static_cast<double>(arrivals_to.ms) * ms_per_s;
   result_.goodput_part = burst_useful_ / burst_capacity_;
+  result_.busy_part = slots_taken_ / slots_up_;
+  result_.waiting_at_engines = waiting_ / engine_steps_;
   result_.wasted_part = wasted_ / std::max(1.0, useful_ + wasted_);
   return result_;
 }
@@ -315,6 +322,7 @@
   const bool late_end = target.completion && each.last_token - each.arrived > *target.completion;
   result.late_first += late_first ? 1 : 0;
   result.late_between += late_between ? 1 : 0;
+  count_top(each, !late_first && !late_between && !late_end);
   ++(late_first || late_between || late_end ? result.late : result.in_target);
   result.longest_wait_ms = std::max(result.longest_wait_ms, first.ms);
   useful_ += each.sent;
@@ -325,6 +333,17 @@
   }
 }
 
+void experiment::count_top(const caller_request& each, bool in_target) {
+  if (shape_of(each).traffic_class.service_tier != 0) {
+    return;
+  }
+  const auto part = static_cast<std::size_t>((each.arrived - start_).ms / profile_part.ms);
+  result_.top_sent.resize(std::max(result_.top_sent.size(), part + 1));
+  result_.top_in_target.resize(result_.top_sent.size());
+  ++result_.top_sent[part];
+  result_.top_in_target[part] += in_target ? 1 : 0;
+}
+
 void experiment::lose_patience() {
   while (!impatient_.empty() && impatient_.front().first <= time_.now()) {
     const std::size_t index = impatient_.front().second;
@@ -409,6 +428,10 @@
   }
   for (const fake_engine& engine : engines_) {
     burst_capacity_ += engine.capacity() * static_cast<double>(step.ms);
+    slots_up_ += engine.capacity() > 0 ? engine.slots() : 0;
+    slots_taken_ += engine.running();
+    waiting_ += engine.waiting();
+    engine_steps_ += 1.0;
   }
 }
 
--- a/bench/policy_lab/experiment.h
+++ b/bench/policy_lab/experiment.h
@@ -53,7 +53,13 @@
   double goodput_part = 0;
   /// Slot time spent on what no caller used, over all slot time.
   double wasted_part = 0;
+  /// Slots taken in the burst over all slots of engines that are up.
   double busy_part = 0;
+  /// Requests waiting at engines in the burst, mean for each engine.
+  double waiting_at_engines = 0;
+  /// Tier 0 requests sent and in target, by 10 s of arrival.
+  std::vector<std::uint64_t> top_sent;
+  std::vector<std::uint64_t> top_in_target;
   std::uint64_t preempted = 0;
   std::uint64_t retried = 0;
 };
--- a/bench/policy_lab/main.cpp
+++ b/bench/policy_lab/main.cpp
@@ -51,6 +51,12 @@
       100.0 * result.goodput_part, 100.0 * result.wasted_part,
       static_cast<unsigned long long>(result.preempted),
       static_cast<unsigned long long>(result.retried));
+  std::printf("  slots taken %.1f%%  waiting at an engine %.2f  tier 0 by 10 s of arrival:",
+              100.0 * result.busy_part, result.waiting_at_engines);
+  for (std::size_t part = 0; part < result.top_sent.size(); ++part) {
+    std::printf(" %.0f", percent(result.top_in_target[part], result.top_sent[part]));
+  }
+  std::printf("\n");
   for (const class_result& each : result.classes) {
     print_class(each);
   }
--- a/include/hawthornnotch/policy/candidate_set.h
+++ b/include/hawthornnotch/policy/candidate_set.h
@@ -15,6 +15,13 @@
 
 namespace hawthornnotch::policy {
 
+/// One server that may be used.
+struct candidate {
+  std::shared_ptr<server_state> server;
+  /// This router's place among those that use the server.
+  std::uint32_t rank = 0;
+};
+
 /// Keeps, for each tier, the list of servers that seem to have room, so that a choice draws from
 /// those and never scans all.
 ///
@@ -26,15 +33,14 @@
  public:
   explicit candidate_set(const ejection_settings& settings) : settings_(settings) {}
   /// Replaces the servers.
-  void assign(std::vector<std::shared_ptr<server_state>> servers, const sharing& shared,
-              time_point now);
+  void assign(std::vector<candidate> servers, const sharing& shared, time_point now);
   /// Replaces what is known of the peers.
   void share(const sharing& shared) { shared_ = shared; }
   [[nodiscard]] const sharing& shared() const { return shared_; }
   [[nodiscard]] std::size_t size() const { return servers_.size(); }
   [[nodiscard]] std::uint32_t ejected() const { return capped_count_; }
   [[nodiscard]] const std::shared_ptr<server_state>& at(std::uint32_t index) const {
-    return servers_.at(index);
+    return servers_.at(index).server;
   }
   [[nodiscard]] std::optional<std::uint32_t> index_of(const server_state* server) const;
   /// Looks at one server anew.  \returns its present offer.
@@ -55,7 +61,7 @@
 
   ejection_settings settings_;
   sharing shared_;
-  std::vector<std::shared_ptr<server_state>> servers_;
+  std::vector<candidate> servers_;
   std::unordered_map<const server_state*, std::uint32_t> index_;
   std::array<std::vector<std::uint32_t>, tier_count> open_;
   std::vector<positions> position_;
--- a/include/hawthornnotch/policy/server_registry.h
+++ b/include/hawthornnotch/policy/server_registry.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "hawthornnotch/member/fleet.h"
+#include "hawthornnotch/policy/candidate_set.h"
 #include "hawthornnotch/policy/server_state.h"
 #include "hawthornnotch/policy/subset.h"
 #include "hawthornnotch/policy/workspace_state.h"
@@ -18,7 +19,7 @@
 
 /// One model's servers at this router.
 struct service_servers {
-  std::vector<std::shared_ptr<server_state>> servers;
+  std::vector<candidate> servers;
   sharing shared;
 };
 
--- a/include/hawthornnotch/policy/server_state.h
+++ b/include/hawthornnotch/policy/server_state.h
@@ -36,6 +36,8 @@
 /// What a backend server can take at a moment.
 struct server_offer {
   std::array<bool, tier_count> room{};
+  /// Requests of this router allowed for each tier.
+  std::array<double, tier_count> limit{};
   /// Capped after failures or a slowdown.
   bool capped = false;
   std::uint32_t in_flight = 0;
@@ -49,7 +51,7 @@
 /// Counters, learned speed, window and ejection of one incarnation of a backend server.
 ///
 /// Example:
-///     server_offer offer = server.offer(sharing, true, now);
+///     server_offer offer = server.offer(sharing, rank, true, now);
 ///     if (offer.room[0]) { server.begin(now); }
 /// Ownership: shared by the models it serves.  Thread safety: all members are thread safe.
 class server_state {
@@ -61,7 +63,9 @@
   void set_leaving() { leaving_ = true; }
   [[nodiscard]] bool leaving() const { return leaving_; }
   /// \param honour_cap false: the cap is left out, because too many servers are capped.
-  [[nodiscard]] server_offer offer(const sharing& shared, bool honour_cap, time_point now) const;
+  /// \param rank this router's place among those that use the server.
+  [[nodiscard]] server_offer offer(const sharing& shared, std::uint32_t rank, bool honour_cap,
+                                   time_point now) const;
   /// \returns requests of this router.
   [[nodiscard]] std::uint32_t in_flight() const;
   /// A request of this router was sent here.
@@ -80,7 +84,8 @@
   [[nodiscard]] server_view view(time_point now) const;
 
  private:
-  [[nodiscard]] double limit(const sharing& shared, tier service_tier, time_point now) const;
+  [[nodiscard]] double limit(const sharing& shared, std::uint32_t rank, tier service_tier,
+                             time_point now) const;
   [[nodiscard]] double draw(const sharing& shared, time_point now) const;
 
   const backend_server facts_;
--- a/include/hawthornnotch/policy/service_queue.h
+++ b/include/hawthornnotch/policy/service_queue.h
@@ -35,8 +35,8 @@
   service_queue(std::string serves, const scheduler_settings& settings, std::uint64_t seed);
 
   /// Replaces the servers and what is known of the peers.
-  void set_servers(std::vector<std::shared_ptr<server_state>> servers, const sharing& shared,
-                   limit_share limits, time_point now);
+  void set_servers(std::vector<candidate> servers, const sharing& shared, limit_share limits,
+                   time_point now);
   /// Replaces what is known of the peers.
   void set_sharing(const sharing& shared, limit_share limits);
   /// \returns routers that use each of the servers.
@@ -93,6 +93,7 @@
   void preempt(time_point now);
   [[nodiscard]] bool urgent(tier service_tier, time_point now) const;
   request_record* victim_for(tier service_tier);
+  void take_over(const std::shared_ptr<server_state>& server, tier below, time_point now);
 
   // Events.
   request_record* running(ticket request, std::uint32_t attempt);
--- a/include/hawthornnotch/policy/subset.h
+++ b/include/hawthornnotch/policy/subset.h
@@ -15,8 +15,13 @@
 
 /// One router's part of the servers of a model.
 struct server_subset {
-  /// Positions in the given list of servers.
-  std::vector<std::size_t> servers;
+  struct used_server {
+    /// Position in the given list of servers.
+    std::size_t position = 0;
+    /// This router's place among those that use the server, from 0.
+    std::uint32_t rank = 0;
+  };
+  std::vector<used_server> servers;
   /// Routers that use each of them.
   std::uint32_t routers_per_server = 1;
 };
--- a/src/policy/candidate_set.cpp
+++ b/src/policy/candidate_set.cpp
@@ -8,8 +8,7 @@
 constexpr std::uint32_t refreshed_in_turn = 2;
 }  // namespace
 
-void candidate_set::assign(std::vector<std::shared_ptr<server_state>> servers,
-                           const sharing& shared, time_point now) {
+void candidate_set::assign(std::vector<candidate> servers, const sharing& shared, time_point now) {
   servers_ = std::move(servers);
   shared_ = shared;
   index_.clear();
@@ -19,7 +18,7 @@
   capped_count_ = 0;
   next_ = 0;
   for (std::uint32_t index = 0; index < servers_.size(); ++index) {
-    index_[servers_[index].get()] = index;
+    index_[servers_[index].server.get()] = index;
     refresh(index, now);
   }
 }
@@ -30,12 +29,12 @@
 }
 
 server_offer candidate_set::refresh(std::uint32_t index, time_point now) {
-  const server_state& server = *servers_.at(index);
-  server_offer offer = server.offer(shared_, true, now);
+  const auto& [server, rank] = servers_.at(index);
+  server_offer offer = server->offer(shared_, rank, true, now);
   if (offer.capped != capped_.at(index) || offer.capped) {
     const bool honoured = honour_cap(index, offer.capped);
     if (!honoured) {
-      offer = server.offer(shared_, false, now);
+      offer = server->offer(shared_, rank, false, now);
     }
   }
   for (int service_tier = 0; service_tier < tier_count; ++service_tier) {
--- a/src/policy/server_registry.cpp
+++ b/src/policy/server_registry.cpp
@@ -140,8 +140,9 @@
   }
   const server_subset subset =
       choose_subset(serves, found->second, routers_, own_vm_, settings_.choice);
-  for (const std::size_t index : subset.servers) {
-    part.servers.push_back(servers_.find(found->second.at(index))->second.state);
+  for (const server_subset::used_server& used : subset.servers) {
+    const std::string& id = found->second.at(used.position);
+    part.servers.push_back({servers_.find(id)->second.state, used.rank});
   }
   part.shared = shared_by(subset.routers_per_server);
   return part;
--- a/src/policy/server_state.cpp
+++ b/src/policy/server_state.cpp
@@ -23,7 +23,8 @@
       window_(settings.window, facts.slots),
       ejection_(settings.ejection) {}
 
-server_offer server_state::offer(const sharing& shared, bool honour_cap, time_point now) const {
+server_offer server_state::offer(const sharing& shared, std::uint32_t rank, bool honour_cap,
+                                 time_point now) const {
   server_offer offer;
   const std::lock_guard lock(mutex_);
   const std::uint32_t cap = ejection_.cap(facts_.slots, now);
@@ -33,24 +34,32 @@
   const server_speed speed = speed_.present();
   offer.first_token_ms = speed.first_token_ms;
   offer.per_token_ms = speed.per_token_ms;
-  const bool shut = leaving_ || (honour_cap && in_flight_ >= cap);
-  for (int index = 0; index < tier_count && !shut; ++index) {
-    offer.room.at(index) = in_flight_ + 1.0 <= limit(shared, static_cast<tier>(index), now);
+  if (leaving_) {
+    return offer;
+  }
+  for (int index = 0; index < tier_count; ++index) {
+    const double allowed = limit(shared, rank, static_cast<tier>(index), now);
+    offer.limit.at(index) = honour_cap ? std::min<double>(allowed, cap) : allowed;
+    offer.room.at(index) = in_flight_ + 1.0 <= offer.limit.at(index);
   }
   return offer;
 }
 
-double server_state::limit(const sharing& shared, tier service_tier, time_point now) const {
+// The parts of all routers add up to the window, whole requests each.
+double server_state::limit(const sharing& shared, std::uint32_t rank, tier service_tier,
+                           time_point now) const {
   const double open = window_.size() * settings_.open_to_tier.at(service_tier);
-  const bool yields = shared.peers_wait_higher.at(service_tier);
-  const double least = service_tier <= 1 ? 1.0 : 0.0;
-  const double share = std::max(least, std::floor(open / shared.routers));
+  const double each = open / shared.routers;
+  const double part = std::floor(each * (rank + 1.0)) - std::floor(each * rank);
+  const double share = service_tier <= 1 ? std::max(1.0, part) : part;
+  const std::uint32_t contenders = shared.contenders.at(service_tier);
   const double spare = open - in_flight_ - load_.others(now);
+  const bool yields = shared.peers_wait_higher.at(service_tier) || contenders >= shared.routers;
   if (yields || spare < 1.0) {
     return share;
   }
-  const double part = spare / shared.contenders.at(service_tier);
-  const double mine = part >= 1.0 || part > draw(shared, now) ? std::max(1.0, part) : 0.0;
+  const double lent = spare / contenders;
+  const double mine = lent >= 1.0 || lent > draw(shared, now) ? std::max(1.0, lent) : 0.0;
   return std::max(share, in_flight_ + mine);
 }
 
--- a/src/policy/service_events.cpp
+++ b/src/policy/service_events.cpp
@@ -55,8 +55,12 @@
     return;
   }
   const bool again = end == attempt_end::preempted && record->profile.traffic_class.idempotent;
+  const bool was_stopped = record->phase == request_phase::stopping;
   stop_running(*record, again, now);
   if (again) {
+    if (was_stopped) {
+      take_over(record->server, tier_of(*record), now);
+    }
     enqueue(*record, true, now);
     return;
   }
--- a/src/policy/service_queue.cpp
+++ b/src/policy/service_queue.cpp
@@ -25,8 +25,8 @@
       first_token_ms_(typical_speed_half_life, server_speed{}.first_token_ms),
       per_token_ms_(typical_speed_half_life, server_speed{}.per_token_ms) {}
 
-void service_queue::set_servers(std::vector<std::shared_ptr<server_state>> servers,
-                                const sharing& shared, limit_share limits, time_point now) {
+void service_queue::set_servers(std::vector<candidate> servers, const sharing& shared,
+                                limit_share limits, time_point now) {
   candidates_.assign(std::move(servers), shared, now);
   limits_ = limits;
 }
@@ -340,6 +340,26 @@
   }
 }
 
+// Gives the place of a stopped stream to the request that it was stopped for.  The server's load is
+// the same as before, so its limits are not asked.
+void service_queue::take_over(const std::shared_ptr<server_state>& server, tier below,
+                              time_point now) {
+  const tier last = std::min<tier>(settings_.preemption.lowest_entitled, below - 1);
+  for (tier service_tier = 0; service_tier <= last; ++service_tier) {
+    const auto next = queue_.head(service_tier, false);
+    if (!next || server->leaving()) {
+      continue;
+    }
+    request_record& record = *records_.at(*next);
+    if (record.workspace->start(record.profile.limits, limits_)) {
+      choice chosen;
+      chosen.server = server;
+      start(record, chosen, false, now);
+      return;
+    }
+  }
+}
+
 // The newest of the lowest tier: it has the least to lose.
 request_record* service_queue::victim_for(tier service_tier) {
   for (int index = tier_count - 1; index > service_tier; --index) {
--- a/src/policy/subset.cpp
+++ b/src/policy/subset.cpp
@@ -1,7 +1,6 @@
 #include "hawthornnotch/policy/subset.h"
 
 #include <algorithm>
-#include <numeric>
 
 #include "hawthornnotch/base/hash.h"
 
@@ -15,16 +14,17 @@
   return static_cast<std::uint32_t>(std::min(least, routers));
 }
 
-bool uses(std::string_view server, std::uint64_t seed, std::span<const std::string> routers,
-          std::string_view own, std::uint32_t count) {
+// The number of routers with a higher hash of (server, router).
+std::uint32_t rank_of(std::string_view own, std::string_view server,
+                      std::span<const std::string> routers, std::uint64_t seed) {
   const std::uint64_t server_seed = stable_hash(server, seed);
   const std::uint64_t own_hash = stable_hash(own, server_seed);
-  const auto higher = std::count_if(routers.begin(), routers.end(),
-                                    [server_seed, own_hash, own](const std::string& router) {
-                                      const std::uint64_t hash = stable_hash(router, server_seed);
-                                      return hash > own_hash || (hash == own_hash && router > own);
-                                    });
-  return higher < static_cast<std::ptrdiff_t>(count);
+  const auto higher = std::count_if(
+      routers.begin(), routers.end(), [server_seed, own_hash, own](const std::string& router) {
+        const std::uint64_t hash = stable_hash(router, server_seed);
+        return hash > own_hash || (hash == own_hash && router > own);
+      });
+  return static_cast<std::uint32_t>(higher);
 }
 
 }  // namespace
@@ -38,15 +38,11 @@
   if (!servers.empty() && known) {
     part.routers_per_server = sharers(servers.size(), routers.size(), settings);
   }
-  if (!known || part.routers_per_server >= routers.size()) {
-    part.servers.resize(servers.size());
-    std::iota(part.servers.begin(), part.servers.end(), std::size_t{0});
-    return part;
-  }
   const std::uint64_t seed = stable_hash(model);
-  for (std::size_t index = 0; index < servers.size(); ++index) {
-    if (uses(servers[index], seed, routers, own, part.routers_per_server)) {
-      part.servers.push_back(index);
+  for (std::size_t position = 0; position < servers.size(); ++position) {
+    const std::uint32_t rank = known ? rank_of(own, servers[position], routers, seed) : 0;
+    if (rank < part.routers_per_server) {
+      part.servers.push_back({position, rank});
     }
   }
   return part;
