Keep no queue at the engines: largest window is the slots

policy_lab showed that late first tokens of tier 0 waited 1.2-2.6 s at the engine and 0.3-1.1 s at the router: a window of 1.25 times the slots put them behind running lower tiers, where the router cannot act.

--- a/bench/policy_lab/experiment.cpp
+++ b/bench/policy_lab/experiment.cpp
@@ -50,6 +50,7 @@
   std::uint32_t sent = 0;
   std::uint64_t engine_key = 0;
   time_point arrived;
+  time_point dispatched;
   time_point first_token;
   time_point last_token;
   double wasted_prefill = 0;
@@ -223,6 +224,9 @@
   caller_request& each = by_ticket(sent.request, router_index);
   const class_shape& shape = shape_of(each);
   each.attempt = sent.attempt;
+  if (each.sent == 0) {
+    each.dispatched = time_.now();
+  }
   each.engine = std::stoi(sent.backend_server.substr(engine_name(0).size() - 1));
   each.engine_key = next_key_++;
   engine_request request;
@@ -341,6 +345,11 @@
   result_.top_sent.resize(std::max(result_.top_sent.size(), part + 1));
   result_.top_in_target.resize(result_.top_sent.size());
   ++result_.top_sent[part];
+  if (!in_target) {
+    result_.late_router_ms += static_cast<double>((each.dispatched - each.arrived).ms);
+    result_.late_engine_ms += static_cast<double>((each.first_token - each.dispatched).ms);
+    result_.late_top += 1;
+  }
   result_.top_in_target[part] += in_target ? 1 : 0;
 }
 
--- a/bench/policy_lab/experiment.h
+++ b/bench/policy_lab/experiment.h
@@ -57,6 +57,10 @@
   double busy_part = 0;
   /// Requests waiting at engines in the burst, mean for each engine.
   double waiting_at_engines = 0;
+  /// Of late tier 0 requests: sums of the waits at the router and at the engine, and their number.
+  double late_router_ms = 0;
+  double late_engine_ms = 0;
+  double late_top = 0;
   /// Tier 0 requests sent and in target, by 10 s of arrival.
   std::vector<std::uint64_t> top_sent;
   std::vector<std::uint64_t> top_in_target;
--- a/include/hawthornnotch/policy/settings.h
+++ b/include/hawthornnotch/policy/settings.h
@@ -72,7 +72,7 @@
 struct window_settings {
   /// Smallest and largest window as parts of the server's slots; 0 < least <= 1 <= most <= 8.
   double least = 0.5;
-  double most = 1.25;
+  double most = 1.0;
   /// Requests added to the window for each answered first token in time, 0 to 1.
   double increase = 0.1;
   /// Factor on the window when first tokens are late, 0.1 to 0.99.
