Free a slot for urgent requests that wait at an engine

A sent request of tier 0 or 1 without a first token may stand behind running lower streams at its engine. When its target is near, the newest lower stream of this router at the same server is stopped; the engine gives the slot to the waiting request by its priority.

--- a/bench/policy_lab/lab_options.cpp
+++ b/bench/policy_lab/lab_options.cpp
@@ -33,6 +33,10 @@
        [](lab_options& to, double value) {
          to.settings.preemption.slack = {static_cast<std::int64_t>(value)};
        }},
+      {"preemption.first_token_slack",
+       [](lab_options& to, double value) {
+         to.settings.preemption.first_token_slack = {static_cast<std::int64_t>(value)};
+       }},
       {"preemption.most_pending",
        [](lab_options& to, double value) {
          to.settings.preemption.most_pending = static_cast<std::uint32_t>(value);
--- a/include/hawthornnotch/policy/request_record.h
+++ b/include/hawthornnotch/policy/request_record.h
@@ -33,6 +33,8 @@
   std::shared_ptr<server_state> server;
   time_point dispatched;
   time_point last_token;
+  /// Stopped for a request that waits at the same server, which takes the slot there.
+  bool yields_to_sent = false;
   /// The first token's arrival was reported and it is not yet part of an `on_tokens` count.
   bool first_uncounted = false;
   std::vector<choice_note> notes;
--- a/include/hawthornnotch/policy/service_queue.h
+++ b/include/hawthornnotch/policy/service_queue.h
@@ -92,7 +92,13 @@
   // Preemption.
   void preempt(time_point now);
   [[nodiscard]] bool urgent(tier service_tier, time_point now) const;
-  request_record* victim_for(tier service_tier);
+  void stop(request_record& victim, bool yields_to_sent, time_point now);
+  [[nodiscard]] request_record* victim_for(tier service_tier) const;
+  void free_slots_for_waiting(time_point now);
+  [[nodiscard]] request_record* victim_at(const server_state* server, tier service_tier) const;
+  [[nodiscard]] bool may_stop(const request_record& record) const;
+  void await_first_token(const request_record& record);
+  void stop_awaiting(const request_record& record);
   void take_over(const std::shared_ptr<server_state>& server, tier below, time_point now);
 
   // Events.
@@ -112,6 +118,9 @@
   chooser chooser_;
   record_map records_;
   std::array<by_dispatch, tier_count> running_;
+  std::unordered_map<const server_state*, std::array<by_dispatch, tier_count>> running_at_;
+  // Sent requests of the entitled tiers without a first token, by its target.
+  by_dispatch awaiting_;
   std::array<drain_meter, tier_count> drain_;
   std::array<std::uint32_t, tier_count> dispatched_{};
   std::map<std::string, std::deque<ticket>> parked_;
--- a/include/hawthornnotch/policy/settings.h
+++ b/include/hawthornnotch/policy/settings.h
@@ -117,6 +117,9 @@
   tier lowest_entitled = 1;
   /// A request that waits is urgent when its latest start is nearer than this, milliseconds.
   duration slack{200};
+  /// A request that was sent but has no first token yet is urgent when its target is nearer than
+  /// this, milliseconds.
+  duration first_token_slack{800};
   /// Streams being stopped at the same time for one model, 0 to 1000.
   std::uint32_t most_pending = 4;
 };
--- a/src/policy/service_events.cpp
+++ b/src/policy/service_events.cpp
@@ -26,6 +26,7 @@
       is_start ? record->profile.traffic_class.target.first_token : std::optional<duration>();
   record->server->on_first_token(waited, target, now);
   first_token_ms_.add(static_cast<double>(waited.ms), 1.0, now);
+  stop_awaiting(*record);
   record->last_token = now;
   record->first_uncounted = true;
 }
@@ -58,7 +59,7 @@
   const bool was_stopped = record->phase == request_phase::stopping;
   stop_running(*record, again, now);
   if (again) {
-    if (was_stopped) {
+    if (was_stopped && !record->yields_to_sent) {
       take_over(record->server, tier_of(*record), now);
     }
     enqueue(*record, true, now);
@@ -119,7 +120,10 @@
 }
 
 void service_queue::stop_running(request_record& record, bool queued_again, time_point now) {
-  running_.at(tier_of(record)).erase({record.dispatched.ms, record.request});
+  const std::pair key{record.dispatched.ms, record.request};
+  running_.at(tier_of(record)).erase(key);
+  running_at_.at(record.server.get()).at(tier_of(record)).erase(key);
+  stop_awaiting(record);
   if (record.phase == request_phase::stopping) {
     --stopping_;
   }
--- a/src/policy/service_queue.cpp
+++ b/src/policy/service_queue.cpp
@@ -28,6 +28,10 @@
 void service_queue::set_servers(std::vector<candidate> servers, const sharing& shared,
                                 limit_share limits, time_point now) {
   candidates_.assign(std::move(servers), shared, now);
+  std::erase_if(running_at_, [](const auto& each) {
+    return std::all_of(each.second.begin(), each.second.end(),
+                       [](const by_dispatch& streams) { return streams.empty(); });
+  });
   limits_ = limits;
 }
 
@@ -275,6 +279,8 @@
     candidates_.refresh(*index, now);
   }
   running_.at(service_tier).emplace(now.ms, record.request);
+  running_at_[chosen.server.get()].at(service_tier).emplace(now.ms, record.request);
+  await_first_token(record);
   ++totals_.assigned;
   const auto first_token_ms = static_cast<std::int64_t>(chosen.first_token_ms);
   note(record, now, is_turn ? note_kind::share_turn : note_kind::assigned, first_token_ms);
@@ -321,6 +327,7 @@
 }
 
 void service_queue::preempt(time_point now) {
+  free_slots_for_waiting(now);
   const tier last = std::min<tier>(settings_.preemption.lowest_entitled, tier_count - 1);
   for (tier service_tier = 0; service_tier <= last; ++service_tier) {
     const auto wanted =
@@ -332,14 +339,69 @@
     if (victim == nullptr) {
       continue;
     }
-    victim->phase = request_phase::stopping;
-    ++stopping_;
-    ++totals_.preempted;
-    note(*victim, now, note_kind::preempted, victim->tokens);
-    ready_.emplace_back(preempted{victim->request});
+    stop(*victim, false, now);
   }
 }
 
+void service_queue::stop(request_record& victim, bool yields_to_sent, time_point now) {
+  victim.yields_to_sent = yields_to_sent;
+  victim.phase = request_phase::stopping;
+  ++stopping_;
+  ++totals_.preempted;
+  note(victim, now, note_kind::preempted, victim.tokens);
+  ready_.emplace_back(preempted{victim.request});
+}
+
+bool service_queue::may_stop(const request_record& record) const {
+  return record.profile.traffic_class.idempotent && record.phase == request_phase::running;
+}
+
+void service_queue::await_first_token(const request_record& record) {
+  const auto& target = record.profile.traffic_class.target.first_token;
+  const bool entitled = is_tiered() && tier_of(record) <= settings_.preemption.lowest_entitled;
+  if (entitled && target && record.tokens == 0) {
+    awaiting_.emplace((record.arrived + *target).ms, record.request);
+  }
+}
+
+void service_queue::stop_awaiting(const request_record& record) {
+  const auto& target = record.profile.traffic_class.target.first_token;
+  if (target) {
+    awaiting_.erase({(record.arrived + *target).ms, record.request});
+  }
+}
+
+// A request that waits at an engine for a slot gets one of this router's own lower streams there.
+void service_queue::free_slots_for_waiting(time_point now) {
+  const std::int64_t near_ms = (now + settings_.preemption.first_token_slack).ms;
+  while (!awaiting_.empty() && awaiting_.begin()->first < near_ms) {
+    const auto [target_ms, request] = *awaiting_.begin();
+    awaiting_.erase(awaiting_.begin());
+    const request_record& record = *records_.at(request);
+    request_record* victim = victim_at(record.server.get(), tier_of(record));
+    if (victim != nullptr && target_ms >= now.ms) {
+      stop(*victim, true, now);
+    }
+  }
+}
+
+request_record* service_queue::victim_at(const server_state* server, tier service_tier) const {
+  const auto found = running_at_.find(server);
+  if (found == running_at_.end()) {
+    return nullptr;
+  }
+  for (int index = tier_count - 1; index > service_tier; --index) {
+    const by_dispatch& streams = found->second.at(index);
+    for (auto each = streams.rbegin(); each != streams.rend(); ++each) {
+      request_record& record = *records_.at(each->second);
+      if (may_stop(record)) {
+        return &record;
+      }
+    }
+  }
+  return nullptr;
+}
+
 // Gives the place of a stopped stream to the request that it was stopped for.  The server's load is
 // the same as before, so its limits are not asked.
 void service_queue::take_over(const std::shared_ptr<server_state>& server, tier below,
@@ -361,15 +423,14 @@
 }
 
 // The newest of the lowest tier: it has the least to lose.
-request_record* service_queue::victim_for(tier service_tier) {
+request_record* service_queue::victim_for(tier service_tier) const {
   for (int index = tier_count - 1; index > service_tier; --index) {
     const by_dispatch& streams = running_.at(index);
     std::uint32_t looked_at = 0;
     for (auto each = streams.rbegin(); each != streams.rend() && looked_at < victims_looked_at;
          ++each, ++looked_at) {
       request_record& record = *records_.at(each->second);
-      const bool allowed = record.profile.traffic_class.idempotent && !record.server->leaving();
-      if (allowed && record.phase == request_phase::running) {
+      if (may_stop(record) && !record.server->leaving()) {
         return &record;
       }
     }
--- a/src/policy/subset.cpp
+++ b/src/policy/subset.cpp
@@ -19,11 +19,11 @@
                       std::span<const std::string> routers, std::uint64_t seed) {
   const std::uint64_t server_seed = stable_hash(server, seed);
   const std::uint64_t own_hash = stable_hash(own, server_seed);
-  const auto higher = std::count_if(
-      routers.begin(), routers.end(), [server_seed, own_hash, own](const std::string& router) {
-        const std::uint64_t hash = stable_hash(router, server_seed);
-        return hash > own_hash || (hash == own_hash && router > own);
-      });
+  const auto higher = std::count_if(routers.begin(), routers.end(),
+                                    [server_seed, own_hash, own](const std::string& router) {
+                                      const std::uint64_t hash = stable_hash(router, server_seed);
+                                      return hash > own_hash || (hash == own_hash && router > own);
+                                    });
   return static_cast<std::uint32_t>(higher);
 }
 
