--- a/include/hawthornnotch/rpc/method_server.h
+++ b/include/hawthornnotch/rpc/method_server.h
@@ -32,7 +32,8 @@
 ///
 /// Example:
 ///     auto server = method_server::create({{"ping", [](std::string_view) { return "{}"; }}});
-///     co_await writer.send({200, {}, server->handle(request.body)});
+///     net::http_response answer{200, {}, server->handle(request.body)};
+///     co_await writer.send(std::move(answer));
 /// Ownership: owns its methods.  Thread safety: `handle` is thread safe if the methods are.
 class method_server {
  public:
--- a/include/hawthornnotch/rpc/router_rpc.h
+++ b/include/hawthornnotch/rpc/router_rpc.h
@@ -57,7 +57,8 @@
 ///
 /// Example:
 ///     auto server = router_rpc_server::create(apply, status);
-///     co_await writer.send({200, {}, server->handle(request.body)});
+///     net::http_response answer{200, {}, server->handle(request.body)};
+///     co_await writer.send(std::move(answer));
 /// Ownership: owns the callbacks.  Thread safety: `handle` is thread safe if the callbacks are.
 class router_rpc_server {
  public:
--- a/src/agent/front.cpp
+++ b/src/agent/front.cpp
@@ -105,7 +105,8 @@
 
 boost::asio::awaitable<void> front::handle(net::http_request request,
                                            net::response_writer& writer) {
-  std::ignore = co_await writer.send(answer(request));
+  net::http_response response = answer(request);
+  std::ignore = co_await writer.send(std::move(response));
 }
 
 net::http_response front::answer(const net::http_request& request) {
