--- a/include/hawthornnotch/member/gossip.h
+++ b/include/hawthornnotch/member/gossip.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -22,14 +23,17 @@
   backend_server server;
   /// Store revision of the operator's announcement, 0 if the server is only listed.
   std::int64_t announced_at = 0;
-  auto operator<=>(const backend_record&) const = default;
+  bool operator==(const backend_record&) const = default;
 };
 
 /// An incarnation that was seen to be replaced or gone; it never comes back.
 struct retired_incarnation {
   std::string id;
   std::string incarnation;
-  auto operator<=>(const retired_incarnation&) const = default;
+  bool operator==(const retired_incarnation&) const = default;
+  bool operator<(const retired_incarnation& other) const {
+    return std::tie(id, incarnation) < std::tie(other.id, other.incarnation);
+  }
 };
 
 /// One agent's word that another was not heard of since this heartbeat.
@@ -37,7 +41,7 @@
   std::string vm;
   std::string by;
   std::uint64_t heartbeat = 0;
-  auto operator<=>(const suspicion&) const = default;
+  bool operator==(const suspicion&) const = default;
 };
 
 /// An entry VM and the heartbeat with which its agent started, 0 if the agent was not heard yet.
@@ -45,7 +49,7 @@
 struct vm_record {
   entry_vm vm;
   std::uint64_t started = 0;
-  auto operator<=>(const vm_record&) const = default;
+  bool operator==(const vm_record&) const = default;
 };
 
 /// Models that an engine was seen to have loaded; the newest observation counts.
@@ -55,7 +59,7 @@
   std::vector<std::string> models;
   /// Calendar time of the observation, milliseconds.
   std::uint64_t observed = 0;
-  auto operator<=>(const loaded_models&) const = default;
+  bool operator==(const loaded_models&) const = default;
 };
 
 using fact = std::variant<backend_record, retired_incarnation, vm_record, suspicion, loaded_models,
@@ -75,7 +79,10 @@
   std::string id;
   /// The incarnation that is retired, or the agent that suspects.
   std::string detail;
-  auto operator<=>(const fact_key&) const = default;
+  bool operator==(const fact_key&) const = default;
+  bool operator<(const fact_key& other) const {
+    return std::tie(kind, id, detail) < std::tie(other.kind, other.id, other.detail);
+  }
 };
 using fact_log = change_log<fact_key>;
 
@@ -83,7 +90,7 @@
 struct heartbeat {
   std::string vm;
   std::uint64_t beat = 0;
-  auto operator<=>(const heartbeat&) const = default;
+  bool operator==(const heartbeat&) const = default;
 };
 
 using load = std::variant<heartbeat, load_report, peer_waiting>;
@@ -92,7 +99,10 @@
 struct load_key {
   load_kind kind = load_kind::heartbeat;
   std::string id;
-  auto operator<=>(const load_key&) const = default;
+  bool operator==(const load_key&) const = default;
+  bool operator<(const load_key& other) const {
+    return std::tie(kind, id) < std::tie(other.kind, other.id);
+  }
 };
 using load_log = change_log<load_key>;
 
