--- a/tests/member/membership_test.cpp
+++ b/tests/member/membership_test.cpp
@@ -125,7 +125,7 @@
     for (int number = 4; number < 4 + joining; ++number) {
       fleet.start(number);
     }
-    const auto all = static_cast<std::size_t>(4 + joining);
+    const std::size_t all = std::size_t{4} + static_cast<std::size_t>(joining);
     const auto agreed = [all](const membership& agent) { return sharers(agent) == all; };
     CPPUNIT_ASSERT(fleet.rounds_until_all(agreed, 8) <= 8);
   }
@@ -237,6 +237,7 @@
   fleet_of_agents fleet(settings);
   settle(fleet, 2);
   std::vector<fleet_vm> listed;
+  listed.reserve(200);
   for (int server = 0; server < 200; ++server) {
     listed.emplace_back(make_server("e" + std::to_string(server), "i1"));
   }
