Hand loads on in turn within a byte budget of their own

Loads change each second, all of them, in the order of polling. Sending the oldest changes first within a budget would send the same few in each message and never the rest. Each message now takes the next ones in turn; facts keep their acknowledged log. In steady state a message has at most 1.5 KB of loads.

--- a/include/hawthornnotch/member/gossip.h
+++ b/include/hawthornnotch/member/gossip.h
@@ -15,6 +15,7 @@
 #include "hawthornnotch/config/model.h"
 #include "hawthornnotch/member/change_log.h"
 #include "hawthornnotch/member/fleet.h"
+#include "hawthornnotch/member/load_index.h"
 
 namespace hawthornnotch::member {
 
@@ -95,31 +96,19 @@
 
 using load = std::variant<heartbeat, load_report, peer_waiting>;
 
-enum class load_kind : std::uint8_t { heartbeat, report, waiting };
-struct load_key {
-  load_kind kind = load_kind::heartbeat;
-  std::string id;
-  bool operator==(const load_key&) const = default;
-  bool operator<(const load_key& other) const {
-    return std::tie(kind, id) < std::tie(other.kind, other.id);
-  }
-};
-using load_log = change_log<load_key>;
-
-/// How far a process has applied another's logs.
+/// How far a process has applied another's log of facts.
 struct log_position {
   /// Which start of the other process the numbers belong to.
   std::string log_id;
   std::uint64_t facts = 0;
-  std::uint64_t loads = 0;
 };
 
-/// One direction of an exchange: the changes in (after, upto] of the sender's logs.
+/// One direction of an exchange: the facts in (after, upto] of the sender's log, and some loads.
 struct gossip_message {
   vm_record from;
   std::string log_id;
   std::uint64_t beat = 0;
-  /// How far the sender has applied the receiver's logs.
+  /// How far the sender has applied the receiver's log.
   log_position seen;
   log_position after;
   log_position upto;
--- a/include/hawthornnotch/member/membership.h
+++ b/include/hawthornnotch/member/membership.h
@@ -30,8 +30,9 @@
   std::size_t fanout = 2;
   /// Rounds between two exchanges with another failure domain.
   std::uint64_t remote_every = 5;
-  /// Byte budget of one message; facts go before loads.
-  std::size_t message_bytes = 8 * 1024;
+  /// Byte budget of one message's facts, which are few, and of its loads, which never end.
+  std::size_t fact_bytes = 8 * 1024;
+  std::size_t load_bytes = 1'500;
   /// Agents of the failure domain that hold the platform's watches.
   std::size_t watchers = 2;
   /// Agents that poll each backend server.
@@ -118,6 +119,9 @@
     std::string log_id;
     log_position acknowledged;
     log_position seen;
+    /// The last of each kind that went into a message.
+    std::string last_heartbeat;
+    std::string last_report;
   };
   struct remembered_waiting {
     peer_waiting waiting;
@@ -137,9 +141,10 @@
   void remember_remote(const entry_vm& vm);
   void drop_loads_of_unknown();
   gossip_message compose(const std::string& peer, bool same_failure_domain);
-  void add_facts(gossip_message& message, const std::string& peer, bool same_failure_domain,
-                 std::size_t& budget) const;
-  void add_loads(gossip_message& message, const std::string& peer, std::size_t& budget) const;
+  void add_facts(gossip_message& message, const std::string& peer, bool same_failure_domain) const;
+  void add_loads(gossip_message& message, const std::string& peer, progress& known) const;
+  void add_in_turn(gossip_message& message, const std::string& peer, load_kind kind,
+                   std::size_t budget, std::string& last) const;
   [[nodiscard]] std::optional<fact> fact_of(const fact_key& key) const;
   [[nodiscard]] std::optional<load> load_of(const load_key& key) const;
   void add_peers(std::vector<peer_contact>& chosen, random_source& random) const;
@@ -151,7 +156,7 @@
   membership_settings settings_;
   const clock& time_;
   fact_log facts_;
-  load_log loads_;
+  load_index loads_;
   peer_table peers_;
   backend_table backends_;
   workspace_table workspaces_;
--- a/include/hawthornnotch/member/peer_table.h
+++ b/include/hawthornnotch/member/peer_table.h
@@ -49,7 +49,7 @@
 /// Ownership: refers to the logs and the clock.  Thread safety: none.
 class peer_table {
  public:
-  peer_table(entry_vm self, peer_table_settings settings, fact_log& facts, load_log& loads,
+  peer_table(entry_vm self, peer_table_settings settings, fact_log& facts, load_index& loads,
              const clock& time);
 
   /// A VM known from the list, an operator or a peer.
@@ -104,7 +104,7 @@
   vm_record self_;
   peer_table_settings settings_;
   fact_log& facts_;
-  load_log& loads_;
+  load_index& loads_;
   const clock& time_;
   std::uint64_t beat_ = 0;
   std::uint64_t version_ = 1;
--- a/src/agent/settings.cpp
+++ b/src/agent/settings.cpp
@@ -46,8 +46,10 @@
 void read_membership(json_reader& reader, member::membership_settings& settings) {
   settings.seeds = read_endpoints(reader, "seeds", false);
   settings.fanout = static_cast<std::size_t>(reader.integer("fanout", fanout_range, 2));
-  settings.message_bytes =
-      static_cast<std::size_t>(reader.integer("message_bytes", message_range, 8 * 1024));
+  settings.fact_bytes =
+      static_cast<std::size_t>(reader.integer("fact_bytes", message_range, 8 * 1024));
+  settings.load_bytes =
+      static_cast<std::size_t>(reader.integer("load_bytes", message_range, 1'500));
   auto& peers = settings.peers;
   peers.suspect_after = reader.milliseconds("suspect_after_ms", long_range, peers.suspect_after);
   peers.lone_confirm_after =
--- a/src/member/exchange.cpp
+++ b/src/member/exchange.cpp
@@ -13,11 +13,12 @@
 constexpr std::uint64_t seed_every = 5;
 // Silent VMs asked in one round, so that suspicion of many ripens within few rounds.
 constexpr std::size_t most_silent_probes = 3;
-constexpr std::size_t message_overhead_bytes = 400;
 constexpr std::size_t fact_overhead_bytes = 120;
 constexpr std::size_t class_bytes = 200;
 constexpr std::size_t hash_bytes = 70;
 constexpr std::size_t load_overhead_bytes = 40;
+// Heartbeats may take one part of so many of the budget for loads.
+constexpr std::size_t heartbeat_part = 3;
 
 std::size_t total_size(const std::vector<std::string>& texts) {
   std::size_t bytes = 0;
@@ -143,23 +144,23 @@
   message.beat = peers_.beat();
   message.newest_fact = facts_.version();
   message.configuration_complete = complete_;
-  const auto known = progress_.find(peer);
-  if (known != progress_.end()) {
-    message.after = known->second.acknowledged;
-    message.seen = known->second.seen;
-  }
+  progress first_contact;
+  const auto found = progress_.find(peer);
+  progress& known = found == progress_.end() ? first_contact : found->second;
+  message.after = known.acknowledged;
+  message.seen = known.seen;
   message.after.log_id = log_id_;
   message.upto = message.after;
-  std::size_t budget = settings_.message_bytes - message_overhead_bytes;
-  add_facts(message, peer, same_failure_domain, budget);
+  add_facts(message, peer, same_failure_domain);
   if (same_failure_domain) {
-    add_loads(message, peer, budget);
+    add_loads(message, peer, known);
   }
   return message;
 }
 
 void membership::add_facts(gossip_message& message, const std::string& peer,
-                           bool same_failure_domain, std::size_t& budget) const {
+                           bool same_failure_domain) const {
+  std::size_t budget = settings_.fact_bytes;
   bool whole = true;
   facts_.visit_after(message.after.facts, [&](const fact_log::change& change) {
     const bool wanted = same_failure_domain || change.key.kind == fact_kind::workspace;
@@ -183,19 +184,32 @@
 }
 
 void membership::add_loads(gossip_message& message, const std::string& peer,
-                           std::size_t& budget) const {
-  loads_.visit_after(message.after.loads, [&](const load_log::change& change) {
-    const auto what = load_of(change.key);
-    const bool news = peer.empty() || change.origin != peer;
+                           progress& known) const {
+  const auto own = load_of({load_kind::waiting, peers_.self().vm.id});
+  if (own) {
+    message.loads.push_back(*own);
+  }
+  const std::size_t for_heartbeats = settings_.load_bytes / heartbeat_part;
+  add_in_turn(message, peer, load_kind::heartbeat, for_heartbeats, known.last_heartbeat);
+  add_in_turn(message, peer, load_kind::report, settings_.load_bytes - for_heartbeats,
+              known.last_report);
+}
+
+void membership::add_in_turn(gossip_message& message, const std::string& peer, load_kind kind,
+                             std::size_t budget, std::string& last) const {
+  const std::string after = last;
+  loads_.visit_cycle(kind, after, [&](const std::string& id, const std::string& origin) {
+    const std::size_t bytes = load_overhead_bytes + id.size();
+    if (bytes > budget) {
+      return false;
+    }
+    last = id;
+    const auto what = load_of({kind, id});
+    const bool news = peer.empty() || origin != peer;
     if (what && news) {
-      const std::size_t bytes = load_overhead_bytes + change.key.id.size();
-      if (bytes > budget) {
-        return false;
-      }
       budget -= bytes;
       message.loads.push_back(*what);
     }
-    message.upto.loads = change.version;
     return true;
   });
 }
@@ -233,8 +247,10 @@
       const bool fresh = time_.now() - report.measured < settings_.load_lifetime;
       return fresh ? std::optional<load>(report) : std::nullopt;
     }
-    case load_kind::waiting:
-      return load(waiting_.at(key.id).waiting);
+    case load_kind::waiting: {
+      const auto found = waiting_.find(key.id);
+      return found == waiting_.end() ? std::nullopt : std::optional<load>(found->second.waiting);
+    }
   }
   return std::nullopt;
 }
@@ -249,11 +265,10 @@
   }
   progress& known = progress_[peer];
   if (known.log_id != message.log_id) {
-    known = {message.log_id, {}, {message.log_id, 0, 0}};
+    known = {message.log_id, {}, {message.log_id, 0}, {}, {}};
   }
   if (message.seen.log_id == log_id_) {
     known.acknowledged.facts = std::max(known.acknowledged.facts, message.seen.facts);
-    known.acknowledged.loads = std::max(known.acknowledged.loads, message.seen.loads);
   }
   remember_remote(message.from.vm);
   peers_.merge(message.from, peer);
@@ -267,9 +282,6 @@
   if (message.after.facts <= known.seen.facts) {
     known.seen.facts = std::max(known.seen.facts, message.upto.facts);
   }
-  if (message.after.loads <= known.seen.loads) {
-    known.seen.loads = std::max(known.seen.loads, message.upto.loads);
-  }
   if (message.configuration_complete && known.seen.facts >= message.newest_fact) {
     complete_ = true;
   }
--- a/src/member/membership.cpp
+++ b/src/member/membership.cpp
@@ -166,10 +166,6 @@
     return;
   }
   waiting_[incoming.vm] = {incoming, time_.now()};
-  // Only the VM itself hands its counts on: a relayed one has no age to order it by.
-  if (own) {
-    loads_.touch({load_kind::waiting, incoming.vm}, origin);
-  }
   ++load_changes_;
 }
 
--- a/src/member/peer_table.cpp
+++ b/src/member/peer_table.cpp
@@ -6,7 +6,7 @@
 namespace hawthornnotch::member {
 
 peer_table::peer_table(entry_vm self, peer_table_settings settings, fact_log& facts,
-                       load_log& loads, const clock& time)
+                       load_index& loads, const clock& time)
     : settings_(settings), facts_(facts), loads_(loads), time_(time) {
   beat_ = static_cast<std::uint64_t>(time.wall().ms);
   self_ = {std::move(self), beat_};
--- a/src/rpc/gossip_codec.cpp
+++ b/src/rpc/gossip_codec.cpp
@@ -37,7 +37,6 @@
   json::object out;
   out["log_id"] = position.log_id;
   out["facts"] = position.facts;
-  out["loads"] = position.loads;
   return out;
 }
 
@@ -116,7 +115,6 @@
   json_fields fields(*value);
   position.log_id = fields.text("log_id");
   position.facts = fields.number("facts");
-  position.loads = fields.number("loads");
   if (!fields.ok()) {
     outer.fail();
   }
