Bound the time of a platform answer that only drips

A service that sends a byte now and then kept a call open until the body's bound, since each read had its own timeout. The answer is now read piece by piece under one limit. Red before: gives_up_on_an_answer_that_only_drips (the call waited for the whole drip and ended as malformed_answer).

--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <limits>
 #include <utility>
 
@@ -342,11 +343,36 @@
     limits.read_timeout = limits_.answer_timeout;
     limits.body_bytes = limits_.answer_bytes;
     auto attempt = [this, &request, limits](const endpoint& to) {
-      return http_.fetch(to, request, limits);
+      return exchange(to, request, limits);
     };
     co_return co_await try_addresses<net::http_response>(book_, attempt);
   }
 
+  // Reads the answer piece by piece, so that one that only drips ends as well.
+  awaitable<result<net::http_response, net::net_failure>> exchange(const endpoint& to,
+                                                                   const net::http_request& request,
+                                                                   net::exchange_limits limits) {
+    auto opened = co_await http_.open(to, request, limits);
+    if (!opened) {
+      co_return failed{opened.last_reason()};
+    }
+    net::response_stream& stream = **opened;
+    net::http_response answer = stream.head();
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(limits_.answer_timeout.ms);
+    while (std::chrono::steady_clock::now() < end) {
+      auto piece = co_await stream.read();
+      if (!piece) {
+        co_return failed{piece.last_reason()};
+      }
+      if (piece->empty()) {
+        co_return answer;
+      }
+      answer.body += *piece;
+    }
+    co_return failed{net::net_failure{net::net_failure_kind::timed_out, true}};
+  }
+
   asio::any_io_executor executor_;
   address_book book_;
   call_limits limits_;
--- a/tests/platform/http_client_test.cpp
+++ b/tests/platform/http_client_test.cpp
@@ -1,12 +1,18 @@
 #include "hawthornnotch/platform/http_client.h"
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
 #include <condition_variable>
 #include <functional>
 #include <future>
 #include <mutex>
 #include <string>
+#include <thread>
+#include <tuple>
 #include <vector>
 
+#include "hawthornnotch/net/http_server.h"
+#include "hawthornnotch/standin/program.h"
 #include "standin_platform.h"
 #include "test_case.h"
 
@@ -131,6 +137,32 @@
   }
 }
 
+// Answers with a byte now and then, for far longer than a call may take.
+boost::asio::awaitable<void> drip(net::http_request, net::response_writer& writer) {
+  constexpr int pieces = 200;
+  constexpr std::chrono::milliseconds pause(10);
+  std::ignore = co_await writer.start(200, {});
+  for (int piece = 0; piece < pieces; ++piece) {
+    std::ignore = co_await writer.write(" ");
+    co_await standin::sleep_for(pause);
+  }
+  std::ignore = co_await writer.finish();
+}
+
+TEST_THAT(platform_client, gives_up_on_an_answer_that_only_drips) {
+  auto service = standin_platform::start();
+  boost::asio::io_context context;
+  auto server = net::http_server::listen(context.get_executor(), {"127.0.0.1", 0}, {}, drip);
+  std::thread thread([&context] { context.run(); });
+  call_limits limits;
+  limits.answer_timeout = {200};
+  auto platform = service->connect({{"127.0.0.1", (*server)->port()}}, limits);
+  const auto outcome = transact(*platform, create("k", "v"));
+  context.stop();
+  thread.join();
+  CPPUNIT_ASSERT(!outcome && outcome.last_reason().kind == failure_kind::timed_out);
+}
+
 TEST_THAT(platform_client, is_certain_of_no_effect_where_nobody_listens) {
   auto service = standin_platform::start();
   auto platform = service->connect({test::closed_address()}, {});
@@ -196,9 +228,22 @@
   CPPUNIT_ASSERT(seen.wait_for_failure().kind == failure_kind::unreachable);
 }
 
-TEST_THAT(platform_watch, ends_with_a_failure_on_rubbish) {
+TEST_THAT(platform_watch, ends_at_the_service_when_its_handle_goes) {
   auto service = standin_platform::start();
   auto platform = service->connect();
+  watcher seen;
+  auto handle = platform->watch("w/", 1, seen.callback());
+  CPPUNIT_ASSERT(transact(*platform, create("w/1", "a")).has_value());
+  seen.wait_for_events(1);
+  CPPUNIT_ASSERT(service->counters().find(R"("open_watches":1)") != std::string::npos);
+  handle.reset();
+  while (service->counters().find(R"("open_watches":0)") == std::string::npos) {
+    std::this_thread::yield();
+  }
+}
+
+TEST_THAT(platform_watch, ends_with_a_failure_on_rubbish) {
+  auto service = standin_platform::start();
   service->fault(R"({"kind":"flood","value":500000,"path":"/v3/watch"})");
   call_limits limits;
   limits.answer_bytes = 100'000;
