Take the claim's result into a variable before the router goes on

The first request through hawthornnotch-router ended the process with an illegal instruction: g++ 12 resumes request_run::run at a state that does not exist when a negated co_await stands in the condition of an early co_return. Seen with samples/01-one-router before; after, the same request is answered whole, streamed and not. No test of its own: it takes the whole path, which scripts/demo.sh runs.

--- a/src/router/request_run.cpp
+++ b/src/router/request_run.cpp
@@ -56,10 +56,10 @@
 }
 
 asio::awaitable<void> request_run::run() {
-  if (!co_await pass_claim()) {
-    co_return;
+  const bool may_run = co_await pass_claim();
+  if (may_run) {
+    co_await queue_and_try();
   }
-  co_await queue_and_try();
 }
 
 asio::awaitable<bool> request_run::pass_claim() {
