--- a/src/ctl/process_commands.cpp
+++ b/src/ctl/process_commands.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <chrono>
 #include <thread>
@@ -27,6 +28,17 @@
   return error ? boost::json::value(body) : parsed;
 }
 
+// A router answers for any id; one that it does not know has no decisions.
+bool has_decisions(const boost::json::value& explained) {
+  if (!explained.is_object()) {
+    return false;
+  }
+  const boost::json::object& object = explained.as_object();
+  return std::any_of(object.begin(), object.end(), [](const auto& member) {
+    return member.value().is_array() && !member.value().as_array().empty();
+  });
+}
+
 // True once the process no longer answers.
 bool wait_for_exit(const endpoint& address, session& remote) {
   const auto end =
@@ -67,11 +79,14 @@
   std::string silent;
   for (std::size_t index = 0; index < routers.size(); ++index) {
     const auto& answer = answers[index];
-    if (answer && answer->status == status_ok) {
-      found.push_back(boost::json::object{{"router", to_string(routers[index])},
-                                          {"decisions", parse_or_text(answer->body)}});
-    } else if (!answer || answer->status != status_not_found) {
+    if (!answer || (answer->status != status_ok && answer->status != status_not_found)) {
       silent += (silent.empty() ? "" : ", ") + to_string(routers[index]);
+      continue;
+    }
+    boost::json::value decisions = parse_or_text(answer->body);
+    if (answer->status == status_ok && has_decisions(decisions)) {
+      found.push_back(boost::json::object{{"router", to_string(routers[index])},
+                                          {"decisions", std::move(decisions)}});
     }
   }
   if (found.empty() && !silent.empty()) {
--- a/tests/ctl/commands_test.cpp
+++ b/tests/ctl/commands_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -34,19 +35,23 @@
   std::string path_ = "ctl_test_" + std::to_string(::getpid()) + "_" + std::to_string(made++);
 };
 
-// An agent whose dump reports a higher revision each time it is asked.
-class catching_up_agent {
+// A process that answers each request with what a function makes of its target and its number.
+class fake_process {
  public:
-  catching_up_agent() {
-    auto made = net::http_server::listen(
-        context_.get_executor(), {"127.0.0.1", 0}, {},
-        [this](net::http_request, net::response_writer& writer) { return answer(writer); });
+  using answerer = std::function<std::string(const std::string& target, int asked_before)>;
+
+  explicit fake_process(answerer make_body) : make_body_(std::move(make_body)) {
+    auto made =
+        net::http_server::listen(context_.get_executor(), {"127.0.0.1", 0}, {},
+                                 [this](net::http_request request, net::response_writer& writer) {
+                                   return answer(std::move(request), writer);
+                                 });
     server_ = std::move(*made);
     thread_ = std::thread([this] { context_.run(); });
   }
-  catching_up_agent(const catching_up_agent&) = delete;
-  catching_up_agent& operator=(const catching_up_agent&) = delete;
-  ~catching_up_agent() {
+  fake_process(const fake_process&) = delete;
+  fake_process& operator=(const fake_process&) = delete;
+  ~fake_process() {
     context_.stop();
     thread_.join();
   }
@@ -54,20 +59,26 @@
   [[nodiscard]] int asked() const { return asked_; }
 
  private:
-  boost::asio::awaitable<void> answer(net::response_writer& writer) {
-    net::http_response dump;
-    const std::string revisions =
-        R"("revisions":{"bayangol-office":)" + std::to_string(asked_++) + "}";
-    dump.body = "{" + revisions + R"(,"router":{)" + revisions + "}}";
-    [[maybe_unused]] const auto sent = co_await writer.send(std::move(dump));
+  boost::asio::awaitable<void> answer(net::http_request request, net::response_writer& writer) {
+    net::http_response made;
+    made.body = make_body_(request.target, asked_++);
+    [[maybe_unused]] const auto sent = co_await writer.send(std::move(made));
   }
 
   boost::asio::io_context context_;
+  answerer make_body_;
   std::atomic<int> asked_{0};
   std::unique_ptr<net::http_server> server_;
   std::thread thread_;
 };
 
+// An agent's dump; its router applies what it has.
+std::string dump_at(int revision) {
+  const std::string revisions =
+      R"("revisions":{"bayangol-office":)" + std::to_string(revision) + "}";
+  return "{" + revisions + R"(,"router":{)" + revisions + "}}";
+}
+
 struct ended {
   exit_code code;
   std::string out;
@@ -98,7 +109,7 @@
 
 TEST_THAT(set_command, waits_until_the_agents_report_the_revision) {
   auto platform = test::standin_platform::start();
-  catching_up_agent agent;
+  fake_process agent([](const std::string&, int asked_before) { return dump_at(asked_before); });
   settings with = settings_for(*platform);
   with.wait = {60'000};
   with.failure_domains["bayangol"].agents = {agent.address()};
@@ -178,6 +189,20 @@
   CPPUNIT_ASSERT(run_command(vm_leave{"b2"}, with).code == exit_code::absent);
 }
 
+TEST_THAT(explain_command, finds_the_router_that_decided_about_the_request) {
+  fake_process router([](const std::string& target, int) -> std::string {
+    return target == "/explain/r-1" ? R"({"steps":[{"event":"queued"}],"scheduler":[]})"
+                                    : R"({"steps":[],"scheduler":[]})";
+  });
+  settings with;
+  with.platform = {test::closed_address()};
+  with.failure_domains["khan-uul"].routers = {router.address()};
+  const ended known = run_command(request_explain{"r-1"}, with);
+  CPPUNIT_ASSERT(known.code == exit_code::done);
+  CPPUNIT_ASSERT(known.out.find("queued") != std::string::npos);
+  CPPUNIT_ASSERT(run_command(request_explain{"r-2"}, with).code == exit_code::absent);
+}
+
 TEST_THAT(every_command, says_unreachable_where_nobody_listens) {
   settings with;
   with.platform = {test::closed_address()};
