--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -16,4 +16,5 @@
 [ -z "$sources" ] && exit 0
 echo "$sources" | xargs clang-format --dry-run --Werror || exit 1
 [ -z "$units" ] && exit 0
-echo "$units" | xargs -P "${JOBS:-$(nproc)}" -n 1 clang-tidy --quiet -p "$folder" 2>/dev/null
+echo "$units" | xargs -P "${JOBS:-$(nproc)}" -n 1 clang-tidy --quiet -p "$folder" \
+  --extra-arg=-Wno-unknown-warning-option 2>/dev/null
