--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -22,7 +22,6 @@
 check "models that router 1 lists" '["forecast-7b"]' \
   "$(curl -s -m 5 "http://${routers[0]}/v1/models" -H 'x-hawthornnotch-workspace: poledica-dispatch' | jq -c '[.data[].id]')"
 
-
 answer=$(call "${routers[0]}" duty-answer /v1/chat/completions -d "$chat" -D "$work/head")
 check "duty-answer, whole, through router 1: status" 200 "$(tail -1 <<<"$answer")"
 check "  finish reason" stop "$(head -1 <<<"$answer" | jq -r '.choices[0].finish_reason')"
@@ -43,14 +42,17 @@
   "$(curl -s -m 5 "http://${operators[0]}/explain/$request_id" | jq '.steps | length > 0')"
 
 echo "sending a load of several classes; engine-4 is announced as leaving meanwhile"
-"$bin/hawthornnotch-load" --settings samples/05-load/demo.json --label demo >"$work/load.txt" 2>/dev/null &
+"$bin/hawthornnotch-load" --settings samples/05-load/demo.json --label demo --output "$work/load.json" \
+  >"$work/load.txt" 2>/dev/null &
 load=$!
 sleep 4
+check "requests to engine-4 before it leaves: some" true "$(counters "$(engine 4)" | jq '.requests > 0')"
 check "hawthornnotchctl vm leave engine-4: exit code" 0 "$(ctl vm leave engine-4 >/dev/null 2>&1; echo $?)"
 sleep 3
 before=$(counters "$(engine 4)" | jq .requests)
 wait "$load"
 check "load: every answer whole, right and one's own; no order ran twice" 0 $?
+check "load: requests neither answered nor told not_run" 0 "$(jq '[.classes[] | .unknown + .not_sent] | add' "$work/load.json")"
 after=$(counters "$(engine 4)" | jq .requests)
 check "requests to engine-4 from 3 s after it was announced as leaving" 0 "$((after - before))"
 check "metrics count requests" true \
