--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Usage: scripts/prove.sh.  Starts the programs on loopback ports, lets processes and calls fail, counts at the
+# Usage: [KEEP_LOGS=FOLDER] scripts/prove.sh.  Starts the programs on loopback ports, lets processes and calls fail, counts at the
 # stand-ins and compares with what callers were told.  Exits non-zero on any violation.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -26,7 +26,7 @@
 # verify_orders PREFIX WHAT: no key ran twice, none that was only told not_run ran, each answer has a run.
 verify_orders() {
   local prefix=$1 what=$2 runs key count twice=0 false_not_run=0 answered_without_run=0 keys=0
-  runs=$(counters "$service")
+  runs=$(counters "$service") || { check "$what: the service's counters" readable unreadable; return; }
   for key in $(ls "$work/told" | sed -n "s/^\($prefix-[0-9]*\)\..*/\1/p" | sort -u); do
     keys=$((keys + 1))
     count=$(jq --arg key "$key" '.runs_by_key[$key] // 0' <<<"$runs")
@@ -44,6 +44,13 @@
   check "$what: answers without a run" 0 "$answered_without_run"
 }
 
+# expect_alive: every process that was started and not stopped is still there.
+expect_alive() {
+  local name missing=""
+  for name in "${!pids[@]}"; do kill -0 "${pids[$name]}" 2>/dev/null || missing="$missing$name "; done
+  check "processes that ended by themselves after: $1" "" "$missing"
+}
+
 wait_for() { local pid; for pid in "$@"; do wait "$pid" 2>/dev/null; done; }
 
 ready() { answers "http://${operators[$(($1 - 1))]}/readyz" && knows_models $(($1 - 1)); }
@@ -214,19 +221,20 @@
 router_extra='.stop.longest_drain_ms = 40000'
 step "starting"
 start_fleet || exit 1
-kill_between_claim_and_send
-pause_longer_than_leases
-platform_down
-platform_loses_answers
-service_loses_answers
-engine_killed_mid_stream
-operators_racing
-stop_under_load
+kill_between_claim_and_send; expect_alive "kill between claim and send"
+pause_longer_than_leases; expect_alive "pause longer than leases"
+platform_down; expect_alive "platform down"
+platform_loses_answers; expect_alive "platform loses answers"
+service_loses_answers; expect_alive "service loses answers"
+engine_killed_mid_stream; expect_alive "engine killed mid stream"
+operators_racing; expect_alive "operators racing"
+stop_under_load; expect_alive "stop under load"
 for name in router-1 router-2 agent-1 agent-2; do
   stop "$name" 60; check "graceful stop of $name: exit code" 0 $?
 done
 echo
 print_table
+[ "$violations" -eq 0 ] || [ -z "${KEEP_LOGS:-}" ] || cp -r "$work" "$KEEP_LOGS"
 echo "not run here: connections cut between agents only (needs a network that can be cut)"
 echo "$violations violations"
 exit $((violations > 0))
