Let two runs of the scripts go on side by side

Two runs on the same ports reached each other's routers, which made a trial of prove.sh show faults that were none of the program's. The ports' first digits can now be set, and a run refuses to start where somebody answers.

--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -27,7 +27,7 @@
         result=$out/$setting-$load-$seed-$policy.json
         echo "$(date +%T) $setting, load $load, seed $seed, $policy"
         start_fleet >"$work/start.txt" 2>&1 || { cat "$work/start.txt"; exit 1; }
-        "$bin/hawthornnotch-load" --settings "samples/05-load/$setting.json" --label "$policy" \
+        "$bin/hawthornnotch-load" --settings "$samples/05-load/$setting.json" --label "$policy" \
           --seed "$seed" --burst-load "$load" --length-s "$length" --output "$result" --quiet \
           >"${result%.json}.txt" || code=1
         stop_all
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -42,7 +42,7 @@
   "$(curl -s -m 5 "http://${operators[0]}/explain/$request_id" | jq '.steps | length > 0')"
 
 echo "sending a load of several classes; engine-4 is announced as leaving meanwhile"
-"$bin/hawthornnotch-load" --settings samples/05-load/demo.json --label demo --output "$work/load.json" \
+"$bin/hawthornnotch-load" --settings "$samples/05-load/demo.json" --label demo --output "$work/load.json" \
   >"$work/load.txt" 2>/dev/null &
 load=$!
 sleep 4
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -72,13 +72,17 @@
 }
 
 # The processes of samples/02-two-routers, from folder $bin; extra settings of the routers from
-# $router_extra, a jq expression.
-platform=127.0.0.1:23790
-service=127.0.0.1:24201
-routers=(127.0.0.1:24001 127.0.0.1:24011)
-operators=(127.0.0.1:24002 127.0.0.1:24012)
-agents=(127.0.0.1:24003 127.0.0.1:24013)
-engine() { echo "127.0.0.1:2410$1"; }
+# $router_extra, a jq expression.  The ports of the samples begin with 24; PORT_PREFIX sets another
+# beginning, so that two runs can go on side by side.
+prefix=${PORT_PREFIX:-24}
+samples=$work/samples
+cp -r samples "$samples"
+grep -rl '127\.0\.0\.1:24' "$samples" | xargs sed -i "s/127\.0\.0\.1:24/127.0.0.1:$prefix/g"
+platform=127.0.0.1:${prefix}300
+service=127.0.0.1:${prefix}201
+routers=("127.0.0.1:${prefix}001" "127.0.0.1:${prefix}011")
+operators=("127.0.0.1:${prefix}002" "127.0.0.1:${prefix}012")
+engine() { echo "127.0.0.1:${prefix}10$1"; }
 token_ms=(0 5 8 13 20)
 first_token_ms=(0 30 45 70 100)
 
@@ -95,24 +99,36 @@
 }
 
 start_router() {
-  jq "${router_extra:-.}" "samples/02-two-routers/router-$1.json" >"$work/router-$1.json"
+  jq "${router_extra:-.}" "$samples/02-two-routers/router-$1.json" >"$work/router-$1.json"
   start "router-$1" "$bin/hawthornnotch-router" --settings "$work/router-$1.json"
 }
 
-start_agent() { start "agent-$1" "$bin/hawthornnotch-agent" --settings "samples/02-two-routers/agent-$1.json"; }
+start_agent() { start "agent-$1" "$bin/hawthornnotch-agent" --settings "$samples/02-two-routers/agent-$1.json"; }
 
-ctl() { "$bin/hawthornnotchctl" --settings samples/02-two-routers/hawthornnotchctl.json "$@"; }
+ctl() { "$bin/hawthornnotchctl" --settings "$samples"/02-two-routers/hawthornnotchctl.json "$@"; }
+
+# ports_are_free: nobody else's processes answer where ours will.
+ports_are_free() {
+  local address
+  for address in "$platform" "$service" "${routers[@]}" "${operators[@]}" "$(engine 1)"; do
+    if (exec 3<>"/dev/tcp/${address%:*}/${address#*:}") 2>/dev/null; then
+      echo "$address is in use; set PORT_PREFIX to two other digits" >&2
+      return 1
+    fi
+  done
+}
 
 # start_fleet: everything, announced and configured, both routers ready.
 start_fleet() {
+  ports_are_free || return 1
   start_standins
   wait_until 10 "the platform stand-in" answers "http://$platform/standin/counters" || return 1
   for number in 1 2; do start_agent "$number"; start_router "$number"; done
-  ctl vm announce samples/02-two-routers/vms.json || return 1
+  ctl vm announce "$samples"/02-two-routers/vms.json || return 1
   local folder
   for folder in 03-poledica/templates/dispatch 04-roundabout/templates/counter \
     03-poledica/workspaces/poledica-dispatch 04-roundabout/workspaces/roundabout-counter; do
-    ctl config set "samples/$folder.json" || return 1
+    ctl config set "$samples/$folder.json" || return 1
   done
   for number in 0 1; do
     wait_until 20 "router $number" answers "http://${operators[$number]}/readyz" || return 1
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -145,7 +145,7 @@
 
 # run_load NAME: a load of several classes; result in $work/NAME.json.
 run_load() {
-  "$bin/hawthornnotch-load" --settings samples/05-load/demo.json --label "$1" --length-s 12 \
+  "$bin/hawthornnotch-load" --settings "$samples/05-load/demo.json" --label "$1" --length-s 12 \
     --output "$work/$1.json" --quiet >"$work/$1.txt" 2>&1
 }
 # ends NAME END: number of requests of a load that ended so.
@@ -181,7 +181,7 @@
   for number in $(seq 10); do
     base=$(ctl --output json config show poledica-dispatch 2>/dev/null | jq -r '.revision // empty')
     jq --argjson rate "$((1000 + RANDOM % 1000))" '.parameters.requests_per_second = $rate' \
-      samples/03-poledica/workspaces/poledica-dispatch.json >"$file"
+      "$samples/03-poledica/workspaces/poledica-dispatch.json" >"$file"
     ctl config set "$file" --base-revision "$base" >/dev/null 2>&1
     echo $? >>"$work/race.codes"
   done
