--- a/include/hawthornnotch/base/clock.h
+++ b/include/hawthornnotch/base/clock.h
@@ -12,7 +12,7 @@
 /// A span of time in whole milliseconds; may be negative.
 struct duration {
   std::int64_t ms = 0;
-  constexpr auto operator<=>(const duration&) const = default;
+  constexpr auto operator<=>(const duration&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 constexpr duration operator+(duration a, duration b) { return {a.ms + b.ms}; }
@@ -23,7 +23,7 @@
 /// A point in time: milliseconds since the clock's own origin.
 struct time_point {
   std::int64_t ms = 0;
-  constexpr auto operator<=>(const time_point&) const = default;
+  constexpr auto operator<=>(const time_point&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 constexpr duration operator-(time_point a, time_point b) { return {a.ms - b.ms}; }
--- a/include/hawthornnotch/claim/claim_service.h
+++ b/include/hawthornnotch/claim/claim_service.h
@@ -85,6 +85,8 @@
   std::size_t writes_per_commit = 48;
   /// Transactions outstanding at once.
   std::size_t commits_in_flight = 2;
+  /// Least time between the starts of two transactions; bounds this process's platform writes.
+  duration commit_interval{0};
   /// Longer answers are recorded without their body, bytes.
   std::size_t recorded_body_limit = 65'536;
   /// Bound of all answers that wait to be stored, bytes; beyond it they are stored without body.
--- a/include/hawthornnotch/claim/group_commit.h
+++ b/include/hawthornnotch/claim/group_commit.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "hawthornnotch/base/clock.h"
 #include "hawthornnotch/platform/client.h"
 
 namespace hawthornnotch::claim {
@@ -39,6 +40,8 @@
   std::size_t commits_in_flight = 2;
   /// Bound of the values in one transaction, bytes; one larger write goes alone.
   std::size_t bytes_per_commit = 524'288;
+  /// Least time between the starts of two transactions; 0: none.
+  duration commit_interval{0};
 };
 
 /// Sends queued writes as few transactions: while `commits_in_flight` are outstanding, writes
@@ -62,14 +65,14 @@
     std::uint64_t failed_commits = 0;
   };
 
-  static std::shared_ptr<group_commit> create(platform::client& platform,
+  static std::shared_ptr<group_commit> create(platform::client& platform, const clock& time,
                                               group_commit_limits limits);
 
   /// Queues one write; it leaves with the next `pump`.
   write_id submit(guarded_write what, write_callback done);
   /// \returns true if the write never left: its callback will not run.
   [[nodiscard]] bool withdraw(write_id which);
-  /// Sends what may leave now.
+  /// Sends what may leave now; to be called again as time passes.
   void pump();
   [[nodiscard]] counters view() const;
 
@@ -81,7 +84,7 @@
   };
   using batch = std::vector<queued_write>;
 
-  group_commit(platform::client& platform, group_commit_limits limits);
+  group_commit(platform::client& platform, const clock& time, group_commit_limits limits);
   std::shared_ptr<batch> take_batch();
   void send(const std::shared_ptr<batch>& writes);
   void finished(const std::shared_ptr<batch>& writes,
@@ -89,10 +92,12 @@
   batch put_back_unrefused(batch& writes, const std::vector<platform::key_value>& current);
 
   platform::client& platform_;
+  const clock& time_;
   const group_commit_limits limits_;
   mutable std::mutex mutex_;
   std::deque<queued_write> queue_;
   write_id last_id_ = 0;
+  time_point may_send_at_;
   counters counters_;
 };
 
--- a/src/claim/claim_service.cpp
+++ b/src/claim/claim_service.cpp
@@ -11,7 +11,8 @@
 bool in_range(const claim_settings& settings) {
   const bool times = settings.claim_timeout.ms > 0 && settings.retry_pause.ms > 0 &&
                      settings.outage_pause.ms >= 0 && settings.record_timeout.ms > 0 &&
-                     settings.in_progress_limit.ms >= 0 && settings.retention.ms > 0;
+                     settings.in_progress_limit.ms >= 0 && settings.retention.ms > 0 &&
+                     settings.commit_interval.ms >= 0;
   const bool sizes =
       settings.live_claims > 0 && settings.writes_per_commit > 0 && settings.commits_in_flight > 0;
   return times && sizes;
--- a/src/claim/engine.cpp
+++ b/src/claim/engine.cpp
@@ -12,8 +12,10 @@
     : settings_(settings),
       time_(time),
       incarnation_(std::move(incarnation)),
-      group_(group_commit::create(platform, {.writes_per_commit = settings.writes_per_commit,
-                                             .commits_in_flight = settings.commits_in_flight})),
+      group_(group_commit::create(platform, time,
+                                  {.writes_per_commit = settings.writes_per_commit,
+                                   .commits_in_flight = settings.commits_in_flight,
+                                   .commit_interval = settings.commit_interval})),
       lease_(std::make_shared<retention_lease>(platform, time, settings.retention)) {}
 
 void claim_service::engine::run(const deferred_calls& calls) {
--- a/src/claim/group_commit.cpp
+++ b/src/claim/group_commit.cpp
@@ -32,13 +32,14 @@
 
 }  // namespace
 
-std::shared_ptr<group_commit> group_commit::create(platform::client& platform,
+std::shared_ptr<group_commit> group_commit::create(platform::client& platform, const clock& time,
                                                    group_commit_limits limits) {
-  return std::shared_ptr<group_commit>(new group_commit(platform, limits));
+  return std::shared_ptr<group_commit>(new group_commit(platform, time, limits));
 }
 
-group_commit::group_commit(platform::client& platform, group_commit_limits limits)
-    : platform_(platform), limits_(limits) {}
+group_commit::group_commit(platform::client& platform, const clock& time,
+                           group_commit_limits limits)
+    : platform_(platform), time_(time), limits_(limits), may_send_at_(time.now()) {}
 
 group_commit::write_id group_commit::submit(guarded_write what, write_callback done) {
   const std::lock_guard lock(mutex_);
@@ -67,9 +68,11 @@
 
 std::shared_ptr<group_commit::batch> group_commit::take_batch() {
   const std::lock_guard lock(mutex_);
-  if (queue_.empty() || counters_.in_flight >= limits_.commits_in_flight) {
+  const bool room = counters_.in_flight < limits_.commits_in_flight;
+  if (queue_.empty() || !room || time_.now() < may_send_at_) {
     return nullptr;
   }
+  may_send_at_ = time_.now() + limits_.commit_interval;
   auto writes = std::make_shared<batch>();
   std::size_t bytes = 0;
   while (!queue_.empty() && writes->size() < limits_.writes_per_commit) {
--- a/tests/fault_matrix/claim_world.cpp
+++ b/tests/fault_matrix/claim_world.cpp
@@ -246,7 +246,7 @@
     x->token = token;
     hop(
         x, claim_step::connect, true, [this, x] { dispatch(x); },
-        [this, x] {
+        [x] {
           x->open = false;
           x->at->claims->release_unsent(x->token, [](bool) {});
           x->done({told::not_run, {}});
@@ -442,24 +442,24 @@
     for (const auto& [attempt, seen] : replies_) {
       const bool ran = runs_.contains(attempt);
       if (seen.what == told::not_run && ran) {
-        found.violations.push_back("told not_run, but the attempt ran");
+        found.violations.emplace_back("told not_run, but the attempt ran");
       }
       if (seen.what == told::answer && total != 1) {
-        found.violations.push_back("told an answer, but the runs are not one");
+        found.violations.emplace_back("told an answer, but the runs are not one");
       }
       if (seen.what == told::answer && seen.body != body_of(runner)) {
-        found.violations.push_back("answer is not the whole answer of the run");
+        found.violations.emplace_back("answer is not the whole answer of the run");
       }
       if (seen.what == told::conflict) {
-        found.violations.push_back("told a key conflict for the same body");
+        found.violations.emplace_back("told a key conflict for the same body");
       }
     }
     // Uncertainty needs a cause: bytes that left, or a process that died with a claim.
     if (last_ != told::answer && dispatched_ == 0 && !crashed_) {
-      found.violations.push_back("the key stays blocked though nothing was ever sent");
+      found.violations.emplace_back("the key stays blocked though nothing was ever sent");
     }
     if (!last_) {
-      found.violations.push_back("the last attempt was never answered");
+      found.violations.emplace_back("the last attempt was never answered");
     }
     found.outcome = last_ == told::answer ? "answer" : "unknown";
     return found;
