Refuse claims only in an outage, not after one lost answer

One timed-out transaction made the service refuse all new claims for half a second: 'refuses_nobody_else_because_one_answer_was_lost' was red before. Now a refused connection, or failures that last, count as an outage.

--- a/include/hawthornnotch/claim/claim_service.h
+++ b/include/hawthornnotch/claim/claim_service.h
@@ -71,7 +71,7 @@
   duration claim_timeout{1'000};
   /// Pause between two tries of the same write.
   duration retry_pause{100};
-  /// After a failed write new claims are refused at once for this time.
+  /// Writes that fail for so long are an outage: new claims are then refused at once for this time.
   duration outage_pause{500};
   /// How long `record` waits for its write before it answers `false`; the write goes on.
   duration record_timeout{2'000};
--- a/src/claim/engine.h
+++ b/src/claim/engine.h
@@ -101,6 +101,8 @@
                     deferred_calls& calls);
   verdict verdict_of_other(const claim_entry& entry, const claim_record& seen) const;
 
+  void platform_answered();
+  void platform_failed(bool down);
   static bool nothing_landed(const claim_entry& entry);
   void decide(claim_entry& entry, verdict what, deferred_calls& calls);
   void become_owned(claim_entry& entry, const std::string& key, deferred_calls& calls);
@@ -119,7 +121,8 @@
   std::uint64_t last_number_ = 0;
   std::uint64_t last_write_ = 0;
   bool stopping_ = false;
-  // Set by a failed write until a write succeeds.
+  std::optional<time_point> failing_since_;
+  // Set while writes fail, until one succeeds.
   std::optional<not_run_reason> outage_;
   time_point refuse_until_;
   claim_view totals_;
--- a/src/claim/engine_writes.cpp
+++ b/src/claim/engine_writes.cpp
@@ -50,7 +50,7 @@
 
 void claim_service::engine::on_applied(entries::iterator at, std::int64_t mod_revision,
                                        deferred_calls& calls) {
-  outage_.reset();
+  platform_answered();
   claim_entry& entry = at->second;
   entry.replaceable = mod_revision;
   const bool current =
@@ -67,7 +67,7 @@
 void claim_service::engine::on_conflict(entries::iterator at,
                                         const std::optional<platform::key_value>& current,
                                         deferred_calls& calls) {
-  outage_.reset();
+  platform_answered();
   claim_entry& entry = at->second;
   if (!current) {
     entry.replaceable = 0;
@@ -151,8 +151,7 @@
     return;
   }
   const bool down = why.kind == platform::failure_kind::unreachable;
-  outage_ = down ? not_run_reason::platform_down : not_run_reason::platform_slow;
-  refuse_until_ = time_.now() + settings_.outage_pause;
+  platform_failed(down);
   entry.may_have_landed = entry.may_have_landed || why.may_have_taken_effect;
   entry.retry_at = time_.now() + settings_.retry_pause;
   if (entry.now == phase::claiming && down) {
@@ -162,6 +161,23 @@
   }
 }
 
+void claim_service::engine::platform_answered() {
+  outage_.reset();
+  failing_since_.reset();
+}
+
+// One lost answer is no outage; a refused connection, or failures for a while, are.
+void claim_service::engine::platform_failed(bool down) {
+  const time_point now = time_.now();
+  if (!failing_since_) {
+    failing_since_ = now;
+  }
+  if (down || now - *failing_since_ >= settings_.outage_pause) {
+    outage_ = down ? not_run_reason::platform_down : not_run_reason::platform_slow;
+    refuse_until_ = now + settings_.outage_pause;
+  }
+}
+
 // A closed attempt of which nothing can stand in the store needs no clean-up.
 bool claim_service::engine::nothing_landed(const claim_entry& entry) {
   return entry.now == phase::settling && entry.record.state == record_state::released &&
--- a/tests/claim/claim_service_test.cpp
+++ b/tests/claim/claim_service_test.cpp
@@ -138,6 +138,22 @@
   expect<owned>(on.decide(only, "again"));
 }
 
+TEST_THAT(claim_service, refuses_nobody_else_because_one_answer_was_lost) {
+  bench on;
+  claim_service& only = on.add("a");
+  int calls = 0;
+  on.ports.front()->fault = [&](const call_info& info) {
+    const bool first = info.kind == call_kind::transact && calls++ == 0;
+    return first ? call_fault::answer_lost : call_fault::none;
+  };
+  std::optional<verdict> slow;
+  only.claim({"w", "slow", "b", "r"}, [&](verdict what) { slow = std::move(what); });
+  on.run(stepped_platform::client_timeout + duration{20});
+  expect<owned>(on.decide(only, "other"));
+  CPPUNIT_ASSERT(slow.has_value());
+  expect<owned>(*slow);
+}
+
 TEST_THAT(claim_service, sends_claims_that_wait_together_as_one_transaction) {
   bench on;
   claim_service& only = on.add("a");
