Shift parts of the windows to routers that wait with higher tiers

Routers now compare their waiting work, which their load messages carry: who stands above twice the mean in tiers 0 and 1 takes more, and those below the mean give as much in sum from lower tiers.

--- a/bench/policy_lab/lab_options.cpp
+++ b/bench/policy_lab/lab_options.cpp
@@ -27,6 +27,14 @@
        [](lab_options& to, double value) {
          to.settings.window.open_to_tier = {1.0, 1.0, value, value};
        }},
+      {"window.shift_gain",
+       [](lab_options& to, double value) { to.settings.window.shift_gain = value; }},
+      {"window.shift_half_life",
+       [](lab_options& to, double value) {
+         to.settings.window.shift_half_life = {static_cast<std::int64_t>(value)};
+       }},
+      {"window.shift_threshold",
+       [](lab_options& to, double value) { to.settings.window.shift_threshold = value; }},
       {"window.open1",
        [](lab_options& to, double value) { to.settings.window.open_to_tier[1] = value; }},
       {"preemption.slack",
--- a/include/hawthornnotch/policy/server_registry.h
+++ b/include/hawthornnotch/policy/server_registry.h
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNNOTCH_POLICY_SERVER_REGISTRY_H_
 #define HAWTHORNNOTCH_POLICY_SERVER_REGISTRY_H_
 
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,6 +12,7 @@
 
 #include "hawthornnotch/member/fleet.h"
 #include "hawthornnotch/policy/candidate_set.h"
+#include "hawthornnotch/policy/peer_demand.h"
 #include "hawthornnotch/policy/server_state.h"
 #include "hawthornnotch/policy/subset.h"
 #include "hawthornnotch/policy/workspace_state.h"
@@ -30,9 +32,12 @@
 /// Ownership: shares the states.  Thread safety: none; the scheduler's fleet lock protects it.
 class server_registry {
  public:
-  explicit server_registry(const scheduler_settings& settings) : settings_(settings) {}
+  explicit server_registry(const scheduler_settings& settings)
+      : settings_(settings), demand_(settings.window) {}
   /// \returns whether servers or routers differ from the snapshot before.
-  bool apply(const fleet_snapshot& fleet, std::string_view own_vm, time_point now);
+  /// \param own_waiting this router's waiting requests by tier.
+  bool apply(const fleet_snapshot& fleet, std::string_view own_vm,
+             const std::array<std::uint32_t, tier_count>& own_waiting, time_point now);
   /// \returns whether any server that takes work serves it.
   [[nodiscard]] bool knows(std::string_view serves) const {
     return by_service_.find(serves) != by_service_.end();
@@ -57,6 +62,8 @@
   // Mean speed of the known servers of each kind: what a new one is expected to have.
   [[nodiscard]] prior_table learn_priors() const;
   void count_peers(const fleet_snapshot& fleet);
+  void shift_parts(const fleet_snapshot& fleet,
+                   const std::array<std::uint32_t, tier_count>& own_waiting, time_point now);
 
   const scheduler_settings& settings_;
   std::string own_vm_;
@@ -65,6 +72,7 @@
   std::vector<std::string> routers_;
   std::vector<backend_server> last_servers_;
   sharing shared_;
+  peer_demand demand_;
   std::uint32_t idle_peers_ = 0;
 };
 
--- a/include/hawthornnotch/policy/server_state.h
+++ b/include/hawthornnotch/policy/server_state.h
@@ -27,6 +27,9 @@
   std::uint32_t routers = 1;
   /// Routers with waiting work of the tier or a higher one, this one included.
   std::array<std::uint32_t, tier_count> contenders = {1, 1, 1, 1};
+  /// Requests at each server above and below the even part of the window.
+  std::array<double, tier_count> taken{};
+  std::array<double, tier_count> given{};
   /// Whether a peer has waiting work of a higher tier.
   std::array<bool, tier_count> peers_wait_higher{};
   /// Differs between routers: spreads who takes which spare slot.
--- a/include/hawthornnotch/policy/settings.h
+++ b/include/hawthornnotch/policy/settings.h
@@ -83,6 +83,12 @@
   double first_token_part = 0.6;
   /// Part of the window open to each tier, above 0 to 1, not rising.
   std::array<double, tier_count> open_to_tier = {1.0, 0.9, 0.8, 0.8};
+  /// Slots that change hands for each request that waits above the routers' mean, 0 to 32.
+  double shift_gain = 8.0;
+  /// Part of the mean that a router's waiting work must stand above it to count, 0 to 10.
+  double shift_threshold = 1.0;
+  /// Age at which a peer's waiting work counts half, milliseconds, above 0.
+  duration shift_half_life{3'000};
   /// Age at which a load report counts half, milliseconds, above 0.
   duration report_half_life{3'000};
 };
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -46,6 +46,7 @@
   [[nodiscard]] std::size_t shard_of(ticket request) const {
     return (request % most_shards) % shards_.size();
   }
+  [[nodiscard]] std::array<std::uint32_t, tier_count> waiting() const;
   void make_queue(shard& part, const std::string& serves);
   static service_queue& queue_for(shard& part, const std::string& serves);
 
@@ -155,11 +156,25 @@
              [=](service_queue& queue, time_point now) { queue.on_caller_gone(request, now); });
 }
 
+std::array<std::uint32_t, tier_count> sharded_scheduler::waiting() const {
+  std::array<std::uint32_t, tier_count> sums{};
+  for (const shard& part : shards_) {
+    const std::lock_guard lock(part.mutex);
+    for (const auto& [serves, queue] : part.queues) {
+      const service_view view = queue->view();
+      for (int index = 0; index < tier_count; ++index) {
+        sums.at(index) += view.queued.at(index);
+      }
+    }
+  }
+  return sums;
+}
+
 void sharded_scheduler::apply(std::shared_ptr<const fleet_snapshot> fleet,
                               std::string_view own_vm) {
   const std::lock_guard fleet_lock(fleet_mutex_);
   const time_point now = time_.now();
-  const bool changed = registry_.apply(*fleet, own_vm, now);
+  const bool changed = registry_.apply(*fleet, own_vm, waiting(), now);
   for (shard& part : shards_) {
     const std::lock_guard lock(part.mutex);
     for (auto& [serves, queue] : part.queues) {
--- a/src/policy/server_registry.cpp
+++ b/src/policy/server_registry.cpp
@@ -24,7 +24,9 @@
 
 }  // namespace
 
-bool server_registry::apply(const fleet_snapshot& fleet, std::string_view own_vm, time_point now) {
+bool server_registry::apply(const fleet_snapshot& fleet, std::string_view own_vm,
+                            const std::array<std::uint32_t, tier_count>& own_waiting,
+                            time_point now) {
   std::vector<std::string> routers = router_ids(fleet, own_vm);
   const bool changed =
       routers != routers_ || fleet.backend_servers != last_servers_ || own_vm_ != own_vm;
@@ -40,6 +42,7 @@
     }
   }
   count_peers(fleet);
+  shift_parts(fleet, own_waiting, now);
   forget_absent(now);
   return changed;
 }
@@ -115,6 +118,26 @@
   }
 }
 
+void server_registry::shift_parts(const fleet_snapshot& fleet,
+                                  const std::array<std::uint32_t, tier_count>& own_waiting,
+                                  time_point now) {
+  std::vector<peer_waiting> waiting;
+  for (const peer_waiting& peer : fleet.waiting) {
+    if (peer.vm != own_vm_) {
+      waiting.push_back(peer);
+    }
+  }
+  peer_waiting& own = waiting.emplace_back();
+  own.vm = own_vm_;
+  std::copy(own_waiting.begin(), own_waiting.end(), std::begin(own.by_tier));
+  demand_.observe(waiting, own_vm_, now);
+  const auto servers = static_cast<double>(std::max<std::size_t>(1, last_servers_.size()));
+  for (int index = 0; index < tier_count; ++index) {
+    shared_.taken.at(index) = demand_.shift().taken.at(index) / servers;
+    shared_.given.at(index) = demand_.shift().given.at(index) / servers;
+  }
+}
+
 sharing server_registry::shared_by(std::uint32_t routers) const {
   sharing shared = shared_;
   shared.routers = std::max(1U, routers);
--- a/src/policy/server_state.cpp
+++ b/src/policy/server_state.cpp
@@ -51,7 +51,10 @@
   const double open = window_.size() * settings_.open_to_tier.at(service_tier);
   const double each = open / shared.routers;
   const double part = std::floor(each * (rank + 1.0)) - std::floor(each * rank);
-  const double share = service_tier <= 1 ? std::max(1.0, part) : part;
+  const double least = service_tier <= 1 ? 1.0 : 0.0;
+  const double shift = shared.taken.at(service_tier) - shared.given.at(service_tier);
+  const double shifted = std::floor(part + shift + (shift == 0 ? 0.0 : draw(shared, now)));
+  const double share = std::clamp(shifted, least, std::max(least, open));
   const std::uint32_t contenders = shared.contenders.at(service_tier);
   const double spare = open - in_flight_ - load_.others(now);
   const bool yields = shared.peers_wait_higher.at(service_tier) || contenders >= shared.routers;
--- a/src/policy/settings.cpp
+++ b/src/policy/settings.cpp
@@ -35,7 +35,9 @@
   return parts && falling && window.least > 0 && window.least <= 1.0 &&
          within(window.most, 1.0, 8.0) && within(window.increase, 0.0, 1.0) &&
          within(window.decrease, 0.1, 0.99) && window.decrease_pause.ms > 0 &&
-         within(window.first_token_part, 0.05, 1.0) && window.report_half_life.ms > 0;
+         within(window.first_token_part, 0.05, 1.0) && within(window.shift_gain, 0.0, 32.0) &&
+         within(window.shift_threshold, 0.0, 10.0) && window.shift_half_life.ms > 0 &&
+         window.report_half_life.ms > 0;
 }
 
 bool valid(const ejection_settings& ejection) {
