--- a/include/hawthornnotch/policy/settings.h
+++ b/include/hawthornnotch/policy/settings.h
@@ -85,7 +85,7 @@
   std::array<double, tier_count> open_to_tier = {1.0, 0.9, 0.8, 0.8};
   /// Slots that change hands for each request that waits above the routers' mean, 0 to 32.
   double shift_gain = 8.0;
-  /// Part of the mean that a router's waiting work must stand above it to count, 0 to 10.
+  /// Part of the other routers' mean that waiting work must stand above it to count, 0 to 10.
   double shift_threshold = 1.0;
   /// Age at which a peer's waiting work counts half, milliseconds, above 0.
   duration shift_half_life{3'000};
--- a/src/policy/peer_demand.cpp
+++ b/src/policy/peer_demand.cpp
@@ -43,8 +43,14 @@
 // Queues of routers with equal traffic differ by chance: only what stands well above the mean
 // counts.
 double peer_demand::need(std::string_view router, int most_urgent) const {
-  const double usual = settings_.shift_threshold * mean_.at(most_urgent);
-  return std::max(0.0, excess(router, most_urgent) - usual);
+  const auto found = cumulated_.find(router);
+  if (found == cumulated_.end() || cumulated_.size() < 2) {
+    return 0.0;
+  }
+  const double waiting = found->second.at(most_urgent);
+  const auto routers = static_cast<double>(cumulated_.size());
+  const double others = (mean_.at(most_urgent) * routers - waiting) / (routers - 1.0);
+  return std::max(0.0, waiting - (1.0 + settings_.shift_threshold) * others);
 }
 
 void peer_demand::smooth(std::span<const peer_waiting> waiting, time_point now) {
