--- a/include/hawthornnotch/policy/request_record.h
+++ b/include/hawthornnotch/policy/request_record.h
@@ -31,6 +31,8 @@
   std::uint32_t tokens = 0;
   /// Server of the running or the last try.
   std::shared_ptr<server_state> server;
+  /// Where the last try failed.
+  std::shared_ptr<server_state> failed_at;
   time_point dispatched;
   time_point last_token;
   /// Stopped for a request that waits at the same server, which takes the slot there.
--- a/src/policy/service_events.cpp
+++ b/src/policy/service_events.cpp
@@ -99,6 +99,7 @@
     return false;
   }
   ++totals_.retried;
+  record->failed_at = record->server;
   enqueue(*record, true, now);
   return true;
 }
--- a/src/policy/service_queue.cpp
+++ b/src/policy/service_queue.cpp
@@ -247,7 +247,7 @@
       record.workspace->planned(traffic_class.name, record.tokens, traffic_class.max_tokens) -
       record.tokens;
   query.prefix_hash = record.profile.prefix_hash;
-  query.avoid = record.server.get();
+  query.avoid = record.failed_at.get();
   query.now = now;
   const choice chosen = chooser_.pick(candidates_, query, random_);
   if (!chosen.server) {
