--- a/src/policy/service_queue.cpp
+++ b/src/policy/service_queue.cpp
@@ -12,6 +12,12 @@
 constexpr std::size_t unparked_workspaces_in_turn = 4;
 constexpr std::uint32_t victims_looked_at = 8;
 
+// A resumed stream reads its prompt and what was sent of the answer again.
+std::uint64_t resume_cost(const request_record& record) {
+  constexpr std::uint64_t bytes_per_token = 4;
+  return record.profile.prompt_bytes + bytes_per_token * record.tokens;
+}
+
 }  // namespace
 
 service_queue::service_queue(std::string serves, const scheduler_settings& settings,
@@ -422,20 +428,22 @@
   }
 }
 
-// The newest of the lowest tier: it has the least to lose.
+// Of the newest of the lowest tier, the one that is cheapest to resume.
 request_record* service_queue::victim_for(tier service_tier) const {
-  for (int index = tier_count - 1; index > service_tier; --index) {
+  request_record* cheapest = nullptr;
+  for (int index = tier_count - 1; index > service_tier && cheapest == nullptr; --index) {
     const by_dispatch& streams = running_.at(index);
     std::uint32_t looked_at = 0;
     for (auto each = streams.rbegin(); each != streams.rend() && looked_at < victims_looked_at;
          ++each, ++looked_at) {
       request_record& record = *records_.at(each->second);
-      if (may_stop(record) && !record.server->leaving()) {
-        return &record;
+      const bool allowed = may_stop(record) && !record.server->leaving();
+      if (allowed && (cheapest == nullptr || resume_cost(record) < resume_cost(*cheapest))) {
+        cheapest = &record;
       }
     }
   }
-  return nullptr;
+  return cheapest;
 }
 
 }  // namespace hawthornnotch::policy
