--- a/tests/policy/parts_test.cpp
+++ b/tests/policy/parts_test.cpp
@@ -73,7 +73,7 @@
                                                 server_speed{});
     state->on_failure({1'000});
     state->on_failure({1'000});
-    servers.push_back({state, 0});
+    servers.emplace_back(candidate{state, 0});
   }
   candidates.assign(servers, {}, {1'001});
   CPPUNIT_ASSERT_EQUAL(3U, candidates.ejected());
--- a/tests/policy/threads_test.cpp
+++ b/tests/policy/threads_test.cpp
@@ -33,6 +33,7 @@
     }
   };
   std::vector<std::thread> workers;
+  workers.reserve(threads);
   for (int worker = 0; worker < threads; ++worker) {
     workers.emplace_back([&fixture, &settle, worker] {
       for (int count = 0; count < requests_each; ++count) {
