Measure goodput by the work done in the burst, and in target apart

Goodput counted whole answers by their end, so streams that ran in the burst and ended after it were lost and those from before were won. Now the work done in the burst counts once its answer is complete, for all policies alike; beside it stand the work of answers in target, and answers a second.

--- a/bench/policy_lab/experiment.cpp
+++ b/bench/policy_lab/experiment.cpp
@@ -48,6 +48,8 @@
   int engine = -1;
   std::uint32_t answer_tokens = 0;
   std::uint32_t sent = 0;
+  // Work done in the burst, which counts once the answer is complete.
+  double burst_work = 0;
   std::uint64_t engine_key = 0;
   time_point arrived;
   time_point dispatched;
@@ -104,6 +106,9 @@
   double full_capacity_ = 0;
   double burst_capacity_ = 0;
   double burst_useful_ = 0;
+  double burst_in_target_ = 0;
+  int burst_answers_ = 0;
+  int burst_answers_in_target_ = 0;
   double useful_ = 0;
   double wasted_ = 0;
   double useful_tokens_ = 0;
@@ -158,6 +163,10 @@
   constexpr double ms_per_s = 1000.0;
   result_.useful_tokens_per_s = useful_tokens_ / static_cast<double>(arrivals_to.ms) * ms_per_s;
   result_.goodput_part = burst_useful_ / burst_capacity_;
+  result_.goodput_in_target_part = burst_in_target_ / burst_capacity_;
+  const double burst_s = static_cast<double>((burst_to - burst_from).ms) / ms_per_s;
+  result_.answers_per_s = burst_answers_ / burst_s;
+  result_.answers_in_target_per_s = burst_answers_in_target_ / burst_s;
   result_.busy_part = slots_taken_ / slots_up_;
   result_.waiting_at_engines = waiting_ / engine_steps_;
   result_.wasted_part = wasted_ / std::max(1.0, useful_ + wasted_);
@@ -303,6 +312,13 @@
     decides.on_first_token(each.request, each.attempt);
   }
   decides.on_tokens(each.request, each.attempt, event.tokens);
+  if (in_burst()) {
+    const class_shape& shape = shape_of(each);
+    const bool is_first = each.sent == 0;
+    each.burst_work +=
+        is_first ? fake_engine::work(shape.prompt_tokens, shape.shared_tokens, event.tokens)
+                 : event.tokens;
+  }
   each.sent += event.tokens;
   each.last_token = time_.now();
   if (event.finished) {
@@ -332,8 +348,12 @@
   useful_ += each.sent;
   wasted_ += each.wasted_prefill;
   useful_tokens_ += each.sent;
+  const bool in_target = !late_first && !late_between && !late_end;
+  burst_useful_ += each.burst_work;
+  burst_in_target_ += in_target ? each.burst_work : 0.0;
   if (in_burst()) {
-    burst_useful_ += fake_engine::work(shape.prompt_tokens, shape.shared_tokens, each.sent);
+    ++burst_answers_;
+    burst_answers_in_target_ += in_target ? 1 : 0;
   }
 }
 
--- a/bench/policy_lab/experiment.h
+++ b/bench/policy_lab/experiment.h
@@ -49,8 +49,13 @@
 struct experiment_result {
   std::vector<class_result> classes;
   double useful_tokens_per_s = 0;
-  /// Same measure in the burst only, over the engines' capacity for the mix.
+  /// Work done in the burst for answers that were completed, over the engines' capacity in it.
   double goodput_part = 0;
+  /// The same, only for answers that met their targets.
+  double goodput_in_target_part = 0;
+  /// Answers completed in the burst.
+  double answers_per_s = 0;
+  double answers_in_target_per_s = 0;
   /// Slot time spent on what no caller used, over all slot time.
   double wasted_part = 0;
   /// Slots taken in the burst over all slots of engines that are up.
--- a/bench/policy_lab/main.cpp
+++ b/bench/policy_lab/main.cpp
@@ -53,6 +53,9 @@
   double top = 0;
   double least_top = 100;
   double goodput = 0;
+  double in_target = 0;
+  double answers = 0;
+  double answers_in_target = 0;
   double wasted = 0;
   double preempted = 0;
   void add(const experiment_result& result) {
@@ -60,6 +63,9 @@
     top += percent_in_target;
     least_top = std::min(least_top, percent_in_target);
     goodput += 100.0 * result.goodput_part;
+    in_target += 100.0 * result.goodput_in_target_part;
+    answers += result.answers_per_s;
+    answers_in_target += result.answers_in_target_per_s;
     wasted += 100.0 * result.wasted_part;
     preempted += static_cast<double>(result.preempted);
   }
@@ -106,12 +112,14 @@
       print_run(plan, policy.name, result);
     }
   }
+  const double runs = options.seeds;
   std::printf(
       "mean of %d: %-10s %-9s %-17s tier 0 in target %5.1f%% (least %5.1f%%)  "
-      "goodput %5.1f%%  wasted %4.2f%%  preempted %.0f\n",
+      "goodput %5.1f%% (in target %5.1f%%)  answers/s %5.1f (in target %5.1f)  "
+      "wasted %4.2f%%  preempted %.0f\n",
       options.seeds, shape.name.c_str(), faults ? "faults" : "no faults", policy.name,
-      sum.top / options.seeds, sum.least_top, sum.goodput / options.seeds,
-      sum.wasted / options.seeds, sum.preempted / options.seeds);
+      sum.top / runs, sum.least_top, sum.goodput / runs, sum.in_target / runs, sum.answers / runs,
+      sum.answers_in_target / runs, sum.wasted / runs, sum.preempted / runs);
 }
 
 }  // namespace
