Say in a request's notes why it waits; forget old drain rates

explain showed no reason between queued and assigned. A note is added once in a row when no candidate has room or the workspace's concurrency is used up.

--- a/include/hawthornnotch/policy/drain_meter.h
+++ b/include/hawthornnotch/policy/drain_meter.h
@@ -24,6 +24,10 @@
       count_ *= left;
       time_ms_ = time_ms_ * left + passed;
     }
+    if (!waiting_ && (now - last_).ms > forgotten_after_ms) {
+      count_ = 0;
+      time_ms_ = 0;
+    }
     waiting_ = waiting;
     last_ = now;
   }
@@ -42,6 +46,7 @@
 
  private:
   static constexpr double half_life_ms = 5'000;
+  static constexpr std::int64_t forgotten_after_ms = 30'000;
   static constexpr double least_ms = 2'000;
   bool waiting_ = false;
   time_point last_;
--- a/include/hawthornnotch/policy/service_queue.h
+++ b/include/hawthornnotch/policy/service_queue.h
@@ -87,7 +87,7 @@
   bool dispatch(ticket request, bool is_turn, time_point now);
   void start(request_record& record, const choice& chosen, bool is_turn, time_point now);
   void park(request_record& record);
-  void unpark(time_point now);
+  void unpark();
 
   // Preemption.
   void preempt(time_point now);
@@ -106,6 +106,7 @@
   void stop_running(request_record& record, bool queued_again, time_point now);
   void forget(ticket request, attempt_end end, time_point now);
   static void note(request_record& record, time_point now, note_kind what, std::int64_t value);
+  static void note_once(request_record& record, time_point now, note_kind what, std::int64_t value);
   void keep_notes(request_record& record);
 
   const std::string serves_;
--- a/include/hawthornnotch/policy/view.h
+++ b/include/hawthornnotch/policy/view.h
@@ -21,7 +21,8 @@
   assigned,
   /// Taken by the share of a lower tier.  Value: tier.
   share_turn,
-  /// Value: drawn candidates.
+  /// Not sent, noted once in a row.  Value: candidates drawn, none of which had room, or
+  /// `no_concurrency`.
   no_room,
   /// Value: the refusal, as its enumerator's number.
   refused,
@@ -43,6 +44,9 @@
 
 inline constexpr std::size_t most_notes = 12;
 
+/// Value of `note_kind::no_room` when the workspace's concurrency is used up.
+inline constexpr std::int64_t no_concurrency = -1;
+
 /// Queue of one model or service.
 struct service_view {
   std::string serves;
--- a/src/policy/service_events.cpp
+++ b/src/policy/service_events.cpp
@@ -151,6 +151,13 @@
   record.notes.push_back({now, what, std::move(server), value});
 }
 
+void service_queue::note_once(request_record& record, time_point now, note_kind what,
+                              std::int64_t value) {
+  if (record.notes.empty() || record.notes.back().what != what) {
+    note(record, now, what, value);
+  }
+}
+
 void service_queue::keep_notes(request_record& record) {
   ended_.emplace_back(record.request, std::move(record.notes));
 }
--- a/src/policy/service_queue.cpp
+++ b/src/policy/service_queue.cpp
@@ -174,7 +174,7 @@
   candidates_.refresh_next(now);
   expire(now);
   if (queue_.size() > 0) {
-    unpark(now);
+    unpark();
     is_tiered() ? dispatch_tiers(now) : dispatch_all(now);
   }
   decisions.insert(decisions.end(), ready_.begin(), ready_.end());
@@ -232,8 +232,9 @@
   if (!next) {
     return false;
   }
-  const bool was_parked = queue_.ready(service_tier) && dispatch(*next, is_turn, now);
-  return was_parked || queue_.head(service_tier, late_first) != next;
+  const bool started = dispatch(*next, is_turn, now);
+  const bool parked = !started && queue_.head(service_tier, late_first) != next;
+  return started || parked;
 }
 
 bool service_queue::dispatch(ticket request, bool is_turn, time_point now) {
@@ -250,9 +251,11 @@
   query.now = now;
   const choice chosen = chooser_.pick(candidates_, query, random_);
   if (!chosen.server) {
+    note_once(record, now, note_kind::no_room, chosen.drawn);
     return false;
   }
   if (!record.workspace->start(record.profile.limits, limits_)) {
+    note_once(record, now, note_kind::no_room, no_concurrency);
     park(record);
     return false;
   }
@@ -296,7 +299,7 @@
 }
 
 // Gives one parked request of each of a few workspaces another chance.
-void service_queue::unpark(time_point /*now*/) {
+void service_queue::unpark() {
   std::size_t looked_at = 0;
   for (auto each = parked_.begin();
        each != parked_.end() && looked_at < unparked_workspaces_in_turn; ++looked_at) {
