--- a/src/router/request_run.cpp
+++ b/src/router/request_run.cpp
@@ -114,7 +114,7 @@
     } else if (const auto* why = std::get_if<policy::refused>(&event)) {
       ended = co_await on_event(*why);
     } else {
-      ended = co_await on_event(caller_left{});
+      ended = co_await on_event(std::get<caller_left>(event));
     }
   }
   shared_.desk.forget(place_.ticket);
@@ -170,7 +170,8 @@
   may_have_run_ = may_have_run_ || broken.may_have_run;
   const bool caller_gone = place_.events->caller_has_left() || sink_.is_gone();
   if (caller_gone && !gate_.is_held()) {
-    co_return co_await on_event(caller_left{});
+    const caller_left left;
+    co_return co_await on_event(left);
   }
   if (place_.events->take_preempted() && may_retry()) {
     record_.note("preempted", {{"backend_server", to.backend_server}});
@@ -200,7 +201,8 @@
   const outcome what = may_have_run_ ? outcome::unknown : outcome::not_run;
   gate_.settle_failure(what);
   record_.finish(end_of(what), to_string(code));
-  co_await sink_.reject({code, what, retry_after, ""});
+  const rejection why{code, what, retry_after, ""};
+  co_await sink_.reject(why);
   co_return true;
 }
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -56,6 +56,8 @@
   return std::move(*server);
 }
 
+const header_list no_headers;
+
 asio::awaitable<void> echo(http_request request, response_writer& writer) {
   http_response response;
   response.headers.emplace_back("x-target", request.target);
@@ -74,7 +76,7 @@
 }
 
 asio::awaitable<void> cut_after_one(http_request /*request*/, response_writer& writer) {
-  std::ignore = co_await writer.start(200, {});
+  std::ignore = co_await writer.start(200, no_headers);
   std::ignore = co_await writer.write("one ");
   writer.abort();
 }
@@ -157,7 +159,7 @@
   asio::awaitable<void> operator()(http_request /*request*/, response_writer& writer) const {
     auto gone = std::make_shared<bool>(false);
     writer.on_peer_gone([gone] { *gone = true; });
-    std::ignore = co_await writer.start(200, {});
+    std::ignore = co_await writer.start(200, no_headers);
     asio::steady_timer pause(co_await asio::this_coro::executor);
     while (!*gone) {
       pause.expires_after(std::chrono::milliseconds(1));
@@ -168,7 +170,8 @@
 };
 
 asio::awaitable<void> open_and_leave(http_client& client, endpoint to) {
-  auto stream = co_await client.open(to, post(""), {});
+  const exchange_limits limits;
+  auto stream = co_await client.open(to, post(""), limits);
   CPPUNIT_ASSERT(stream.has_value());
   (*stream)->cancel();
 }
--- a/tests/platform/http_client_test.cpp
+++ b/tests/platform/http_client_test.cpp
@@ -141,7 +141,8 @@
 boost::asio::awaitable<void> drip(net::http_request, net::response_writer& writer) {
   constexpr int pieces = 200;
   constexpr std::chrono::milliseconds pause(10);
-  std::ignore = co_await writer.start(200, {});
+  const net::header_list no_headers;
+  std::ignore = co_await writer.start(200, no_headers);
   for (int piece = 0; piece < pieces; ++piece) {
     std::ignore = co_await writer.write(" ");
     co_await standin::sleep_for(pause);
