--- a/tests/lease/order_planner_test.cpp
+++ b/tests/lease/order_planner_test.cpp
@@ -130,6 +130,25 @@
   CPPUNIT_ASSERT(all.loads <= static_cast<int>(terms) * seconds_per_term / 30);
 }
 
+TEST_THAT(order_planner, saves_no_loads_up_over_a_change_of_holder) {
+  stepped_clock time;
+  engines all(200);
+  planner_settings settings;
+  settings.replicas = {{"m", 200}};
+  std::vector<order_planner> holders(4, order_planner(settings, time));
+  // Each of them had the lease for long with nothing to do; then all is missing and terms are
+  // short.
+  std::uint64_t term = 0;
+  for (auto& holder : holders) {
+    auto empty = engines(0);
+    run_for(holder, empty, time, ++term, 200);
+  }
+  for (auto& holder : holders) {
+    run_for(holder, all, time, ++term, 20);
+  }
+  CPPUNIT_ASSERT(all.loads <= 2 + 4 * 20 / 30);
+}
+
 TEST_THAT(order_planner, has_one_order_at_a_time_on_a_server_also_when_the_answer_is_lost) {
   stepped_clock time;
   engines all(1);
