Back off from a platform that does not answer

All agents asked again each second, so that an outage of an overloaded service would have been met with two calls a second from every VM. The agents that watch now double their pause up to 16 s with jitter; the others wait for the slow period once peers have told them the configuration.

--- a/src/agent/platform_feed.cpp
+++ b/src/agent/platform_feed.cpp
@@ -1,5 +1,6 @@
 #include "agent/platform_feed.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "agent/timer.h"
@@ -17,8 +18,9 @@
 constexpr duration step_period{100};
 // How long an agent that doesn't watch follows the configuration each slow period.
 constexpr duration slow_follow_length{3'000};
-// Between two tries of a reading that failed.
-constexpr duration retry_period{1'000};
+// Between two tries of a reading that failed: doubles up to the longest.
+constexpr duration shortest_retry{1'000};
+constexpr std::uint32_t most_doublings = 4;
 // Announcements are also read again at this period by agents that watch them.
 constexpr duration announcement_reread{10'000};
 
@@ -39,7 +41,7 @@
 
 platform_feed::platform_feed(agent_board& board, platform::client& client,
                              platform::vm_list_source& list)
-    : board_(board), client_(client), list_(list) {}
+    : board_(board), client_(client), list_(list), random_(stable_hash(board.incarnation)) {}
 
 asio::awaitable<void> platform_feed::run() {
   const auto self = shared_from_this();
@@ -92,6 +94,25 @@
   }
 }
 
+// An overloaded service must not be asked the more often the more agents there are: the few that
+// watch back off, the others wait for the slow period once peers have told them the configuration.
+duration platform_feed::pause_after(bool answered, duration watching_pause) {
+  failures_in_row_ = answered ? 0 : failures_in_row_ + 1;
+  if (answered) {
+    return watching_ ? watching_pause : board_.settings.slow_period;
+  }
+  ++failures_;
+  const bool told_by_peers = board_.members.with(
+      [](member::membership& members) { return members.configuration_complete(); });
+  if (!watching_ && told_by_peers) {
+    return board_.settings.slow_period;
+  }
+  const std::uint32_t doublings = std::min(failures_in_row_ - 1, most_doublings);
+  const duration longest = shortest_retry * (std::int64_t{1} << doublings);
+  const auto jitter = random_.below(static_cast<std::uint64_t>(longest.ms) / 2);
+  return longest - duration{static_cast<std::int64_t>(jitter)};
+}
+
 void platform_feed::read_list() {
   board_.counters->count("hawthornnotch_platform_calls_total", {{"kind", "list"}});
   list_.fetch_vm_list([weak = weak_from_this()](const auto& listed) {
@@ -103,11 +124,10 @@
       self->board_.members.with([&](member::membership& members) { members.apply_list(*listed); });
     }
     const std::lock_guard lock(self->mutex_);
-    const auto& settings = self->board_.settings;
-    const duration pause = self->watching_ ? settings.list_period : settings.slow_period;
     self->reading_list_ = false;
-    self->next_list_ = self->board_.time.now() + (listed ? pause : retry_period);
-    (listed ? self->list_readings_ : self->failures_) += 1;
+    self->next_list_ = self->board_.time.now() +
+                       self->pause_after(listed.has_value(), self->board_.settings.list_period);
+    self->list_readings_ += listed ? 1 : 0;
   });
 }
 
@@ -164,7 +184,7 @@
                            const std::lock_guard held(self->mutex_);
                            if (self->watch_number_ == number) {
                              self->watch_alive_ = false;
-                             self->next_announcements_ = self->board_.time.now() + retry_period;
+                             self->next_announcements_ = self->board_.time.now() + shortest_retry;
                            }
                          });
 }
--- a/src/agent/platform_feed.h
+++ b/src/agent/platform_feed.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "agent/board.h"
+#include "hawthornnotch/base/random.h"
 #include "hawthornnotch/config/follower.h"
 #include "hawthornnotch/platform/client.h"
 #include "hawthornnotch/platform/vm_list.h"
@@ -37,6 +38,8 @@
   void take_announcements(const std::vector<platform::key_value>& found);
   void follow_configuration(bool watching);
   void take_configuration();
+  // How long to wait after a reading; to be called under the lock.
+  duration pause_after(bool answered, duration watching_pause);
   void offer_peers_configuration();
 
   agent_board& board_;
@@ -59,6 +62,9 @@
   // Tells a watch's late failure from that of the present one.
   std::uint64_t watch_number_ = 0;
   bool watch_alive_ = false;
+  // Failed readings since the last one that was answered.
+  std::uint32_t failures_in_row_ = 0;
+  random_source random_;
   std::uint64_t list_readings_ = 0;
   std::uint64_t failures_ = 0;
 };
