--- a/src/agent/platform_feed.cpp
+++ b/src/agent/platform_feed.cpp
@@ -148,7 +148,7 @@
           const duration pause =
               self->watching_ ? announcement_reread : self->board_.settings.slow_period;
           self->reading_announcements_ = false;
-          self->next_announcements_ = self->board_.time.now() + (seen ? pause : retry_period);
+          self->next_announcements_ = self->board_.time.now() + (seen ? pause : shortest_retry);
           self->failures_ += seen ? 0 : 1;
           watch = seen && self->watching_ && !self->watch_alive_;
         }
