--- a/src/agent/platform_feed.cpp
+++ b/src/agent/platform_feed.cpp
@@ -145,11 +145,9 @@
         bool watch = false;
         {
           const std::lock_guard lock(self->mutex_);
-          const duration pause =
-              self->watching_ ? announcement_reread : self->board_.settings.slow_period;
           self->reading_announcements_ = false;
-          self->next_announcements_ = self->board_.time.now() + (seen ? pause : shortest_retry);
-          self->failures_ += seen ? 0 : 1;
+          self->next_announcements_ =
+              self->board_.time.now() + self->pause_after(seen.has_value(), announcement_reread);
           watch = seen && self->watching_ && !self->watch_alive_;
         }
         if (watch) {
