--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -189,7 +189,7 @@
 
 revision_at() {
   curl -sf -m 2 "http://${operators[$1]}/dump" |
-    jq '[.. | objects | select(.workspace? == "poledica-dispatch") | .revision] | first'
+    jq '[.. | objects | .workspaces? | objects | ."poledica-dispatch"] | first'
 }
 in_force_everywhere() { [ "$(revision_at 0)" = "$1" ] && [ "$(revision_at 1)" = "$1" ]; }
 
