--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -126,7 +126,8 @@
                                                               {"value", fault.value},
                                                               {"count", fault.count},
                                                               {"path", fault.path}});
-    auto answer = co_await client_->fetch(fault.target, std::move(request), {});
+    const net::exchange_limits limits;
+    auto answer = co_await client_->fetch(fault.target, std::move(request), limits);
     const bool accepted = answer && answer->status == 200;
     fault_lines_.push_back(std::to_string(fault.at.ms) + " ms " + fault.kind + " at port " +
                            std::to_string(fault.target.port) +
