--- a/bench/policy_lab/experiment.cpp
+++ b/bench/policy_lab/experiment.cpp
@@ -33,6 +33,7 @@
 constexpr duration slow_to = 55_s;
 constexpr duration crash_at = 45_s;
 constexpr duration recover_at = 60_s;
+constexpr duration profile_part = 10_s;
 constexpr double slow_factor = 5.0;
 constexpr std::uint32_t slots = 8;
 constexpr double fastest_ms = 9.0;
@@ -49,6 +50,7 @@
   std::uint32_t sent = 0;
   std::uint64_t engine_key = 0;
   time_point arrived;
+  time_point dispatched;
   time_point first_token;
   time_point last_token;
   double wasted_prefill = 0;
@@ -71,6 +73,7 @@
   void on_event(const engine_event& event);
   void on_failed(caller_request& each, attempt_end end, double prefill);
   void finish(caller_request& each);
+  void count_top(const caller_request& each, bool in_target);
   void lose_patience();
   void change_faults();
   void publish();
@@ -104,7 +107,10 @@
   double useful_ = 0;
   double wasted_ = 0;
   double useful_tokens_ = 0;
-  double busy_ = 0;
+  double slots_up_ = 0;
+  double slots_taken_ = 0;
+  double waiting_ = 0;
+  double engine_steps_ = 0;
   experiment_result result_;
 };
 
@@ -152,6 +158,8 @@
   constexpr double ms_per_s = 1000.0;
   result_.useful_tokens_per_s = useful_tokens_ / static_cast<double>(arrivals_to.ms) * ms_per_s;
   result_.goodput_part = burst_useful_ / burst_capacity_;
+  result_.busy_part = slots_taken_ / slots_up_;
+  result_.waiting_at_engines = waiting_ / engine_steps_;
   result_.wasted_part = wasted_ / std::max(1.0, useful_ + wasted_);
   return result_;
 }
@@ -216,6 +224,9 @@
   caller_request& each = by_ticket(sent.request, router_index);
   const class_shape& shape = shape_of(each);
   each.attempt = sent.attempt;
+  if (each.sent == 0) {
+    each.dispatched = time_.now();
+  }
   each.engine = std::stoi(sent.backend_server.substr(engine_name(0).size() - 1));
   each.engine_key = next_key_++;
   engine_request request;
@@ -315,6 +326,7 @@
   const bool late_end = target.completion && each.last_token - each.arrived > *target.completion;
   result.late_first += late_first ? 1 : 0;
   result.late_between += late_between ? 1 : 0;
+  count_top(each, !late_first && !late_between && !late_end);
   ++(late_first || late_between || late_end ? result.late : result.in_target);
   result.longest_wait_ms = std::max(result.longest_wait_ms, first.ms);
   useful_ += each.sent;
@@ -325,6 +337,22 @@
   }
 }
 
+void experiment::count_top(const caller_request& each, bool in_target) {
+  if (shape_of(each).traffic_class.service_tier != 0) {
+    return;
+  }
+  const auto part = static_cast<std::size_t>((each.arrived - start_).ms / profile_part.ms);
+  result_.top_sent.resize(std::max(result_.top_sent.size(), part + 1));
+  result_.top_in_target.resize(result_.top_sent.size());
+  ++result_.top_sent[part];
+  if (!in_target) {
+    result_.late_router_ms += static_cast<double>((each.dispatched - each.arrived).ms);
+    result_.late_engine_ms += static_cast<double>((each.first_token - each.dispatched).ms);
+    result_.late_top += 1;
+  }
+  result_.top_in_target[part] += in_target ? 1 : 0;
+}
+
 void experiment::lose_patience() {
   while (!impatient_.empty() && impatient_.front().first <= time_.now()) {
     const std::size_t index = impatient_.front().second;
@@ -409,6 +437,10 @@
   }
   for (const fake_engine& engine : engines_) {
     burst_capacity_ += engine.capacity() * static_cast<double>(step.ms);
+    slots_up_ += engine.capacity() > 0 ? engine.slots() : 0;
+    slots_taken_ += engine.running();
+    waiting_ += engine.waiting();
+    engine_steps_ += 1.0;
   }
 }
 
--- a/src/member/peer_table.cpp
+++ b/src/member/peer_table.cpp
@@ -6,7 +6,7 @@
 namespace hawthornnotch::member {
 
 peer_table::peer_table(entry_vm self, peer_table_settings settings, fact_log& facts,
-                       load_log& loads, const clock& time)
+                       load_index& loads, const clock& time)
     : settings_(settings), facts_(facts), loads_(loads), time_(time) {
   beat_ = static_cast<std::uint64_t>(time.wall().ms);
   self_ = {std::move(self), beat_};
@@ -131,6 +131,13 @@
   }
 }
 
+void peer_table::rejoin() {
+  ++beat_;
+  self_.started = beat_;
+  self_.vm.leaving = false;
+  changed(self_.vm.id, {});
+}
+
 bool peer_table::silent(const state& known) const {
   return time_.now() - known.last_heard > settings_.suspect_after;
 }
