Settle a claim whose release is refused after its dispatch

A router that got leave to send, failed before the first byte and then released the claim was refused, and the entry stayed in the table for good: 'lets_a_token_dispatch_ once_and_never_after_its_release' was red with 1 entry owned instead of 0. Such a claim is now settled as unknown. The test asks for outcome_unknown at the other router where it asked for in_progress, since the key is settled by then. claim_test 12 passed, fault_matrix_test 9 passed; under AddressSanitizer and ThreadSanitizer claim_test and config_test 12 passed each.

--- a/include/hawthornnotch/claim/claim_service.h
+++ b/include/hawthornnotch/claim/claim_service.h
@@ -155,7 +155,8 @@
   /// Stores that the request may have run without a known result.
   void record_unknown(const claim_token& token);
   /// Gives back a claim whose request was never sent; closed locally first, so the token is dead
-  /// when this returns.  Refused (`false`) after `begin_dispatch`.
+  /// when this returns.  After `begin_dispatch` it is refused (`false`) and acts as
+  /// `record_unknown`.
   /// \param done runs once; true: any router may now claim the key again.
   void release_unsent(const claim_token& token, stored_callback done);
   /// Refuses new claims with `stopping`; claims held are settled as before.
--- a/src/claim/engine.cpp
+++ b/src/claim/engine.cpp
@@ -196,8 +196,12 @@
   {
     const std::lock_guard lock(mutex_);
     claim_entry* entry = held_by(token);
-    if (entry == nullptr || entry->now == phase::dispatched) {
+    if (entry == nullptr) {
+      calls.emplace_back([done = std::move(done)] { done(false); });
+    } else if (entry->now == phase::dispatched) {
+      // Something may have left: the key is settled, but not as unsent.
       calls.emplace_back([done = std::move(done)] { done(false); });
+      settle(token.key, *entry, record_state::unknown, nullptr);
     } else {
       settle(token.key, *entry, record_state::released, std::move(done));
     }
--- a/tests/claim/claim_service_test.cpp
+++ b/tests/claim/claim_service_test.cpp
@@ -98,7 +98,8 @@
   first.release_unsent(sent, [&](bool stored) { released = stored; });
   on.run(duration{100});
   CPPUNIT_ASSERT(!released);
-  expect<in_progress>(on.decide(second, "sent"));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, first.view().owned);
+  expect<outcome_unknown>(on.decide(second, "sent"));
 
   const claim_token unsent = expect<owned>(on.decide(first, "unsent")).token;
   first.release_unsent(unsent, [](bool) {});
