--- a/tests/claim/claim_threads_test.cpp
+++ b/tests/claim/claim_threads_test.cpp
@@ -132,6 +132,7 @@
     }
   };
   std::vector<std::thread> workers;
+  workers.reserve(threads);
   for (int number = 0; number < threads; ++number) {
     workers.emplace_back(work, number);
   }
