Let a dead router of the fault matrix do nothing more

AddressSanitizer reported 1.4 MB leaked by fault_matrix_test: routers that died while paused kept their requests, which refer to the router. The same place let a process killed while stopped go on when it should have woken, and a router that crashed after sending a head still sent the body.

--- a/tests/fault_matrix/claim_world.cpp
+++ b/tests/fault_matrix/claim_world.cpp
@@ -58,6 +58,14 @@
     routers_ = {make_router("a1"), make_router("b1")};
   }
 
+  ~world() {
+    for (const router_ptr& one : routers_) {
+      end(one);
+    }
+  }
+  world(const world&) = delete;
+  world& operator=(const world&) = delete;
+
   findings run() {
     send(0);
     if (plan_.repeats == repeat_mode::both_at_once) {
@@ -80,6 +88,12 @@
   using router_ptr = std::shared_ptr<router>;
   using exchange_ptr = std::shared_ptr<exchange>;
 
+  // Drops what a process holds; its requests refer to it.
+  static void end(const router_ptr& one) {
+    one->claims.reset();
+    one->held.clear();
+  }
+
   void step() {
     time_.advance(final_ ? duration{10} : step_at(time_.now() - start_));
     store_.run_due();
@@ -176,6 +190,9 @@
     self->port->pause();
     store_.events().after(pause_length, [self] {
       self->paused = false;
+      if (!self->alive) {
+        return;
+      }
       self->port->resume();
       for (const auto& one : std::exchange(self->held, {})) {
         one();
@@ -191,6 +208,7 @@
     crashed_ = true;
     self->port->kill();
     store_.events().after(restart_time, [this, self] {
+      end(self);
       for (router_ptr& one : routers_) {
         if (one == self) {
           restarted_ = restarted_ || self == routers_.front();
@@ -355,7 +373,10 @@
         crash(self);
         return;
       case fault::crash_after:
-        deliver(hop_time);
+        // Only a complete request is of use to the neighbour without the router.
+        if (at == claim_step::body) {
+          deliver(hop_time);
+        }
         crash(self);
         return;
       default:
--- a/tests/fault_matrix/config_world.cpp
+++ b/tests/fault_matrix/config_world.cpp
@@ -270,6 +270,10 @@
     self->port->pause();
     store_.events().after(pause_length, [self] {
       self->paused = false;
+      if (!self->alive) {
+        self->held.clear();
+        return;
+      }
       self->port->resume();
       for (const auto& one : std::exchange(self->held, {})) {
         one();
