--- a/include/hawthornnotch/policy/settings.h
+++ b/include/hawthornnotch/policy/settings.h
@@ -44,7 +44,7 @@
   duration longest_gap{10'000};
   /// One in this many dispatches of a tier goes to a request whose target is already missed, 2 to
   /// 100.
-  std::uint32_t late_turn = 4;
+  std::uint32_t late_turn = 25;
   /// Retry-After when no drain rate is known yet, milliseconds, above 0.
   duration default_retry_after{1'000};
   /// Longest Retry-After that is given, milliseconds, above 0.
--- a/src/policy/service_preemption.cpp
+++ b/src/policy/service_preemption.cpp
@@ -1,6 +1,5 @@
 // Stopping lower tiers for higher ones; the rest of `service_queue` stands in service_queue.cpp.
 #include <algorithm>
-#include <ranges>
 
 #include "hawthornnotch/policy/service_queue.h"
 
@@ -93,11 +92,11 @@
   }
   for (int index = tier_count - 1; index > service_tier; --index) {
     const by_dispatch& streams = found->second.at(index);
-    for (const auto& [dispatched_ms, request] : std::ranges::reverse_view(streams)) {
-      request_record& record = *records_.at(request);
-      if (may_stop(record)) {
-        return &record;
-      }
+    const auto newest = std::find_if(streams.rbegin(), streams.rend(), [this](const auto& each) {
+      return may_stop(*records_.at(each.second));
+    });
+    if (newest != streams.rend()) {
+      return records_.at(newest->second).get();
     }
   }
   return nullptr;
--- a/tests/policy/parts_test.cpp
+++ b/tests/policy/parts_test.cpp
@@ -102,7 +102,7 @@
   std::size_t moved = 0;
   std::size_t used = 0;
   auto more = routers;
-  more.push_back("vm-new");
+  more.emplace_back("vm-new");
   for (const std::string& own : routers) {
     const server_subset before = choose_subset("model", servers, routers, own, settings);
     const server_subset after = choose_subset("model", servers, more, own, settings);
