Give a request without queue time one chance to start

The settings allow queue_limit_ms 0, and such a request was refused before the policy ran once; the test was red first. The limit is at least 50 ms now.

--- a/src/policy/service_queue.cpp
+++ b/src/policy/service_queue.cpp
@@ -9,6 +9,8 @@
 
 constexpr duration typical_speed_half_life{5'000};
 constexpr double ms_per_s = 1000.0;
+// Longer than the time between two runs of the policy, so that each request has a chance to start.
+constexpr duration least_queue_limit{50};
 constexpr std::size_t unparked_workspaces_in_turn = 4;
 
 }  // namespace
@@ -127,7 +129,7 @@
   entry.request = record.request;
   entry.service_tier = tier_of(record);
   entry.start_by = start_by(record);
-  entry.queue_until = now + record.profile.traffic_class.queue_limit;
+  entry.queue_until = now + std::max(record.profile.traffic_class.queue_limit, least_queue_limit);
   entry.resumed = resumed;
   queue_.add(entry);
   record.phase = request_phase::queued;
--- a/tests/policy/scheduler_test.cpp
+++ b/tests/policy/scheduler_test.cpp
@@ -75,6 +75,16 @@
   CPPUNIT_ASSERT(notes.at(2).what == note_kind::finished);
 }
 
+TEST_THAT(scheduler, gives_a_request_without_queue_time_one_chance_to_start) {
+  policy_case fixture({});
+  fixture.apply_servers(1);
+  request_profile hasty = policy_case::profile(0);
+  hasty.traffic_class.queue_limit = 0_ms;
+  fixture.decides().submit(hasty);
+  fixture.time().advance(10_ms);
+  CPPUNIT_ASSERT(std::holds_alternative<assigned>(fixture.decides().take_decisions().at(0)));
+}
+
 TEST_THAT(scheduler, rejects_settings_out_of_range) {
   stepped_clock time;
   scheduler_settings settings;
