--- a/include/hawthornnotch/net/http_client.h
+++ b/include/hawthornnotch/net/http_client.h
@@ -75,7 +75,8 @@
 /// Example:
 ///     auto answer = co_await client.fetch(at, {"GET", "/load", {}, ""}, limits);
 ///     if (!answer) { co_return answer.last_reason(); }
-/// Ownership: outlives its exchanges.  Thread safety: all members are thread safe; an exchange runs
+/// Ownership: outlives its exchanges, and goes before the contexts they ran on, since it keeps idle
+/// sockets of theirs.  Thread safety: all members are thread safe; an exchange runs
 /// on the executor of the coroutine that awaits it, which is a strand where several threads run.
 class http_client {
  public:
