End a stop in bounded time when the platform stays down

Cause: router_test hung for 120 s in 'answers not run with the platform down': a claim whose release can't be written counted as a request in progress, so the stop waited for the longest drain (600 s). Ruled out: dropping unsettled claims at once (a result stored a moment later saves its key). Change: once requests have ended, the stop waits for claims at most stop.longest_settling_ms; what is not stored by then leaves its key unknown, never run twice.

--- a/include/hawthornnotch/router/settings.h
+++ b/include/hawthornnotch/router/settings.h
@@ -37,6 +37,9 @@
   duration balancer_notice{5'000};
   /// Longest time that requests in progress may take after that.
   duration longest_drain{600'000};
+  /// How long the results of claimed requests may take to be stored once all requests have ended.
+  /// A result that is not stored leaves its key `unknown`.
+  duration longest_settling{5'000};
 };
 
 struct router_settings {
--- a/scripts/check_awaits.sh
+++ b/scripts/check_awaits.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Finds co_await expressions that build a braced temporary, and conditions that await and then end
-# the coroutine: g++ 12 destroys the first twice and miscompiles the second.
+# Finds co_await expressions that build a braced temporary, and conditions that await: g++ 12
+# destroys the first twice and miscompiles some of the second.
 # Build the value in a local variable first.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -12,9 +12,9 @@
     my $line = 1 + ($before =~ tr/\n//);
     print "$ARGV:$line: braced temporary in a co_await expression\n";
   }
-  while (/if \([^;{}]*co_await[^;{}]*\) \{\s*co_return;/g) {
+  while (/(if|while) \([^;{}=]*co_await[^;{}]*\) \{/g) {
     my $line = 1 + (substr($_, 0, $-[0]) =~ tr/\n//);
-    print "$ARGV:$line: awaited condition that ends a coroutine\n";
+    print "$ARGV:$line: condition that awaits\n";
   }')
 [ -z "$found" ] && exit 0
 echo "$found"
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -101,10 +101,9 @@
   connection& operator=(const connection&) = delete;
 
   asio::awaitable<void> run() {
-    while (!broken_) {
-      if (!co_await serve_one()) {
-        break;
-      }
+    bool may_go_on = true;
+    while (may_go_on) {
+      may_go_on = co_await serve_one();
     }
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -199,8 +198,11 @@
     parser.header_limit(shared_->limits.header_bytes);
     parser.body_limit(shared_->limits.body_bytes);
     const bool fresh = buffer_.size() == 0;
-    if (fresh && !co_await wait_for_first_byte()) {
-      co_return std::nullopt;
+    if (fresh) {
+      const bool has_begun = co_await wait_for_first_byte();
+      if (!has_begun) {
+        co_return std::nullopt;
+      }
     }
     stream_.expires_after(to_chrono(shared_->limits.read_timeout));
     const auto [error, count] = co_await http::async_read(stream_, buffer_, parser, as_result);
--- a/src/router/lifecycle.cpp
+++ b/src/router/lifecycle.cpp
@@ -25,15 +25,24 @@
   return balancer_has_noticed ? phase::refusing : phase::noticed;
 }
 
-bool lifecycle::may_end(std::size_t requests_in_progress) const {
+time_point lifecycle::quiet_since() {
+  const std::lock_guard lock(mutex_);
+  if (!quiet_since_) {
+    quiet_since_ = time_.now();
+  }
+  return *quiet_since_;
+}
+
+bool lifecycle::may_end(std::size_t requests_in_progress, std::size_t unsettled_claims) {
   if (now() != phase::refusing) {
     return false;
   }
-  if (requests_in_progress == 0) {
-    return true;
+  if (requests_in_progress > 0) {
+    const duration longest = settings_.balancer_notice + settings_.longest_drain;
+    return time_.now() - *stop_began() >= longest;
   }
-  const duration longest = settings_.balancer_notice + settings_.longest_drain;
-  return time_.now() - *stop_began() >= longest;
+  const bool waited_for_claims = time_.now() - quiet_since() >= settings_.longest_settling;
+  return unsettled_claims == 0 || waited_for_claims;
 }
 
 }  // namespace hawthornnotch::router::internal
--- a/src/router/lifecycle.h
+++ b/src/router/lifecycle.h
@@ -2,7 +2,7 @@
 #ifndef HAWTHORNNOTCH_SRC_ROUTER_LIFECYCLE_H_
 #define HAWTHORNNOTCH_SRC_ROUTER_LIFECYCLE_H_
 
-#include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <mutex>
 #include <optional>
@@ -31,16 +31,20 @@
   bool begin_stop();
   [[nodiscard]] phase now() const;
   [[nodiscard]] bool is_stopping() const { return now() != phase::serving; }
-  // Whether the process may end: no request is in progress, or the longest drain has passed.
-  [[nodiscard]] bool may_end(std::size_t requests_in_progress) const;
+  // Whether the process may end: no request is in progress, or the longest drain has passed; and
+  // no claim is unsettled, or the longest settling since the last request has passed.
+  [[nodiscard]] bool may_end(std::size_t requests_in_progress, std::size_t unsettled_claims);
 
  private:
   [[nodiscard]] std::optional<time_point> stop_began() const;
+  // When the last request was seen to have ended.
+  time_point quiet_since();
 
   const stop_settings settings_;
   const clock& time_;
   mutable std::mutex mutex_;
   std::optional<time_point> stop_began_;
+  std::optional<time_point> quiet_since_;
 };
 
 }  // namespace hawthornnotch::router::internal
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -76,7 +76,7 @@
                                                                   net::request_handler handler);
   asio::awaitable<void> tick_claims();
   asio::awaitable<void> end_when_drained();
-  [[nodiscard]] bool is_settled() const;
+  [[nodiscard]] std::size_t unsettled_claims() const;
 
   const router_settings settings_;
   const std::string incarnation_;
@@ -189,15 +189,14 @@
   }
 }
 
-bool router_process::is_settled() const {
+std::size_t router_process::unsettled_claims() const {
   const claim::claim_view claims = parts_.claims->view();
-  return claims.settling == 0 && claims.owned == 0 && claims.claiming == 0;
+  return claims.settling + claims.owned + claims.claiming;
 }
 
 asio::awaitable<void> router_process::end_when_drained() {
   asio::steady_timer timer(co_await asio::this_coro::executor);
-  const auto in_progress = [this] { return callers_->open_requests() + (is_settled() ? 0U : 1U); };
-  while (!phases_.may_end(in_progress())) {
+  while (!phases_.may_end(callers_->open_requests(), unsettled_claims())) {
     timer.expires_after(stop_check);
     std::ignore = co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -90,6 +90,7 @@
   into.balancer_notice =
       reader.milliseconds("balancer_notice_ms", {0, most_ms}, into.balancer_notice);
   read_time(reader, "longest_drain_ms", into.longest_drain);
+  read_time(reader, "longest_settling_ms", into.longest_settling);
 }
 
 void read_log(json_reader& reader, observe::log_settings& into) {
--- a/tests/router/router_fixture.cpp
+++ b/tests/router/router_fixture.cpp
@@ -26,6 +26,7 @@
   settings.authenticate = false;
   settings.caller_limits = limits;
   settings.stop.balancer_notice = {0};
+  settings.stop.longest_settling = {100};
   return settings;
 }
 
