--- a/bench/policy_lab/experiment.cpp
+++ b/bench/policy_lab/experiment.cpp
@@ -394,22 +394,19 @@
 }
 
 void experiment::change_faults() {
-  if (!plan_.faults) {
-    return;
-  }
   const std::size_t slow_engine = engines_.size() / 2;
   const std::size_t crashed_engine = engines_.size() / 4;
-  if (elapsed() == slow_from) {
+  if (plan_.faults.slow && elapsed() == slow_from) {
     engines_[slow_engine].slow_down(slow_factor);
-  } else if (elapsed() == slow_to) {
+  } else if (plan_.faults.slow && elapsed() == slow_to) {
     engines_[slow_engine].slow_down(1.0);
-  } else if (elapsed() == crash_at) {
+  } else if (plan_.faults.crash && elapsed() == crash_at) {
     std::vector<engine_event> events;
     engines_[crashed_engine].crash(events);
     for (const engine_event& event : events) {
       on_event(event);
     }
-  } else if (elapsed() == recover_at) {
+  } else if (plan_.faults.crash && elapsed() == recover_at) {
     engines_[crashed_engine].recover();
   }
 }
@@ -422,7 +419,7 @@
         {engine_name(static_cast<int>(index)), engine.running(), engine.waiting(), time_.now()});
   }
   past_reports_.push_back(std::move(reports));
-  const duration lag = plan_.faults && in_burst() ? fault_lag : usual_lag;
+  const duration lag = plan_.faults.lag && in_burst() ? fault_lag : usual_lag;
   const auto back = static_cast<std::size_t>(lag.ms / snapshot_every.ms);
   auto fleet = std::make_shared<fleet_snapshot>();
   for (int index = 0; index < plan_.engines; ++index) {
--- a/bench/policy_lab/experiment.h
+++ b/bench/policy_lab/experiment.h
@@ -13,6 +13,17 @@
 
 namespace hawthornnotch::lab {
 
+/// Faults in the burst.
+struct fault_plan {
+  /// A middle engine slows fivefold.
+  bool slow = false;
+  /// A fast engine crashes mid-stream and recovers.
+  bool crash = false;
+  /// Load reports lag by 4 s.
+  bool lag = false;
+  [[nodiscard]] bool any() const { return slow || crash || lag; }
+};
+
 /// What happens in a run.
 struct experiment_plan {
   load_shape shape;
@@ -20,8 +31,7 @@
   std::uint64_t seed = 1;
   int routers = 6;
   int engines = 20;
-  /// One engine slows fivefold, one crashes and recovers, load reports lag by 4 s in the burst.
-  bool faults = false;
+  fault_plan faults;
   /// All of tier 0 arrives at one router and all other traffic at the rest.
   bool skewed = false;
   /// Factor on all offered work.
--- a/bench/policy_lab/lab_options.h
+++ b/bench/policy_lab/lab_options.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 
+#include "experiment.h"
 #include "hawthornnotch/policy/settings.h"
 
 namespace hawthornnotch::lab {
@@ -19,6 +20,7 @@
   bool tiers_only = false;
   bool skewed = false;
   double load = 1.0;
+  fault_plan faults{true, true, true};
   int routers = 6;
   policy::scheduler_settings settings;
 };
--- a/bench/policy_lab/main.cpp
+++ b/bench/policy_lab/main.cpp
@@ -75,9 +75,9 @@
   std::printf(
       "%s %s%s seed %llu %s: tier 0 in target %.1f%%  goodput/capacity %.1f%%  wasted %.2f%%"
       "  preempted %llu  retried %llu\n",
-      plan.shape.name.c_str(), plan.faults ? "faults" : "no faults", plan.skewed ? " skewed" : "",
-      static_cast<unsigned long long>(plan.seed), policy, top_percent(result),
-      100.0 * result.goodput_part, 100.0 * result.wasted_part,
+      plan.shape.name.c_str(), plan.faults.any() ? "faults" : "no faults",
+      plan.skewed ? " skewed" : "", static_cast<unsigned long long>(plan.seed), policy,
+      top_percent(result), 100.0 * result.goodput_part, 100.0 * result.wasted_part,
       static_cast<unsigned long long>(result.preempted),
       static_cast<unsigned long long>(result.retried));
   std::printf("  slots taken %.1f%%  waiting at an engine %.2f  tier 0 by 10 s of arrival:",
@@ -100,7 +100,7 @@
     experiment_plan plan;
     plan.shape = shape;
     plan.seed = static_cast<std::uint64_t>(seed);
-    plan.faults = faults;
+    plan.faults = faults ? options.faults : hawthornnotch::lab::fault_plan{};
     plan.skewed = options.skewed;
     plan.load = options.load;
     plan.routers = options.routers;
