--- a/src/load/profile.cpp
+++ b/src/load/profile.cpp
@@ -68,13 +68,13 @@
   mix.burst_begin = one_third;
   mix.burst_end = 2 * one_third;
   mix.kinds = {
-      with_rate(chat("bulletin", 0, {1300_ms, 36_ms, {}}, 90, 240), 0.20, 6),
-      with_rate(chat("duty-answer", 1, {1300_ms, 50_ms, {}}, 24, 96), 0.30, 2),
+      with_rate(chat("bulletin", 0, {1300_ms, 36_ms, {}}, 90, 240), 0.08, 4),
+      with_rate(chat("duty-answer", 1, {1300_ms, 50_ms, {}}, 24, 96), 0.27, 2),
       with_rate(at_most_once(service("gritting-order", 0, 2_s, "POST", "/services/gritting/orders"),
                              0.25),
                 0.10, 3),
       with_rate(service("station-reading", 1, 1_s, "GET", "/services/stations/readings"), 0.25, 1),
-      with_rate(whole(chat("station-summary", 3, {{}, {}, 60_s}, 120, 400)), 0.15, 1),
+      with_rate(whole(chat("station-summary", 3, {{}, {}, 60_s}, 170, 500)), 0.30, 1),
   };
   return in_workspace(std::move(mix), "poledica-dispatch");
 }
