--- a/include/hawthornnotch/net/http_client.h
+++ b/include/hawthornnotch/net/http_client.h
@@ -73,7 +73,8 @@
 /// Sends requests and keeps idle connections per endpoint, in shards each under its own lock.
 ///
 /// Example:
-///     auto answer = co_await client.fetch(at, {"GET", "/load", {}, ""}, limits);
+///     http_request request{"GET", "/load", {}, ""};
+///     auto answer = co_await client.fetch(at, std::move(request), limits);
 ///     if (!answer) { co_return answer.last_reason(); }
 /// Ownership: outlives its exchanges, and goes before the contexts they ran on, since it keeps idle
 /// sockets of theirs.  Thread safety: all members are thread safe; an exchange runs
--- a/include/hawthornnotch/net/http_server.h
+++ b/include/hawthornnotch/net/http_server.h
@@ -29,7 +29,10 @@
 
 /// Answers one request: either `send` once, or `start`, any number of `write`s and `finish`.
 ///
-/// Example: `co_await writer.send({200, {}, "ok"});`
+/// Example:
+///     http_response response;  // a local: g++ 12 destroys braced temporaries of co_await twice
+///     response.body = "ok";
+///     auto sent = co_await writer.send(std::move(response));
 /// Ownership: belongs to the server, valid until the handler returns.
 /// Thread safety: used from the handler's strand only.
 class response_writer {
--- a/include/hawthornnotch/router/rejection.h
+++ b/include/hawthornnotch/router/rejection.h
@@ -49,6 +49,8 @@
   claim_table_full,
   backend_failed,
   answer_too_large,
+  /// Of the operators' listener: nothing is known of this request id.
+  unknown_request,
 };
 
 /// A typed error towards a caller.
--- a/src/router/claim_gate.cpp
+++ b/src/router/claim_gate.cpp
@@ -74,7 +74,7 @@
   if (!token_) {
     return nullptr;
   }
-  return [this] { return claims_.begin_dispatch(*token_); };
+  return [this] { return token_ && claims_.begin_dispatch(*token_); };
 }
 
 void claim_gate::settle_answer(unsigned code, std::string_view content_type,
--- a/src/router/operator_port.cpp
+++ b/src/router/operator_port.cpp
@@ -65,7 +65,9 @@
     return json_answer(dump_json(shared_, phases_, around_.incarnation, around_.counts()));
   }
   if (starts_with(request.target, explain_path)) {
-    return json_answer(explain_json(shared_, request.target.substr(explain_path.size())));
+    const auto explained = explain_json(shared_, request.target.substr(explain_path.size()));
+    return explained ? json_answer(*explained)
+                     : to_response({reject_code::unknown_request, outcome::unknown, {}, ""}, "");
   }
   return to_response({reject_code::unknown_path, outcome::not_run, std::nullopt, ""}, "");
 }
@@ -120,7 +122,7 @@
   if (applied) {
     shared_.scheduler.apply(shared_.control.view()->fleet, shared_.settings.vm);
     shared_.desk.pump();
-    observe::log_event(observe::level::info, "snapshot_applied",
+    observe::log_event(observe::level::debug, "snapshot_applied",
                        {{"agent", snapshot.agent_incarnation}, {"version", snapshot.version}});
   }
   return status();
--- a/src/router/rejection.cpp
+++ b/src/router/rejection.cpp
@@ -78,6 +78,8 @@
       return {"backend_failed", 502, "backend_error", "the backend server failed"};
     case reject_code::answer_too_large:
       return {"answer_too_large", 502, "backend_error", "the backend server's answer is too large"};
+    case reject_code::unknown_request:
+      return {"unknown_request", 404, invalid, "nothing is known of this request"};
   }
   return {};
 }
--- a/src/router/state_dump.cpp
+++ b/src/router/state_dump.cpp
@@ -165,11 +165,11 @@
   return json::serialize(dump);
 }
 
-std::string explain_json(const services& shared, std::string_view request_id) {
+std::optional<std::string> explain_json(const services& shared, std::string_view request_id) {
   json::value explained = json::parse(shared.decisions.explain_json(request_id));
   json::value* steps = explained.as_object().if_contains("steps");
-  if (steps == nullptr) {
-    return json::serialize(explained);
+  if (steps == nullptr || steps->as_array().empty()) {
+    return std::nullopt;
   }
   // The step `queued` holds the ticket, by which the scheduler's own notes are found.
   std::uint64_t ticket = 0;
--- a/src/router/state_dump.h
+++ b/src/router/state_dump.h
@@ -2,6 +2,7 @@
 #ifndef HAWTHORNNOTCH_SRC_ROUTER_STATE_DUMP_H_
 #define HAWTHORNNOTCH_SRC_ROUTER_STATE_DUMP_H_
 
+#include <optional>
 #include <string>
 
 #include "lifecycle.h"
@@ -17,7 +18,8 @@
 
 std::string dump_json(const services& shared, const lifecycle& phases, std::string_view incarnation,
                       listener_counts counts);
-std::string explain_json(const services& shared, std::string_view request_id);
+// \returns nothing where the request is unknown or forgotten.
+std::optional<std::string> explain_json(const services& shared, std::string_view request_id);
 
 }  // namespace hawthornnotch::router::internal
 
--- a/tests/router/router_test.cpp
+++ b/tests/router/router_test.cpp
@@ -179,6 +179,7 @@
   for (const char* step : {"accepted", "queued", "assigned", "ended"}) {
     CPPUNIT_ASSERT_MESSAGE(explained.body, explained.body.find(step) != std::string::npos);
   }
+  CPPUNIT_ASSERT_EQUAL(404U, fixture.operate("GET", "/explain/none").status);
   const auto dump = boost::json::parse(fixture.operate("GET", "/dump").body);
   CPPUNIT_ASSERT(dump.at("control").at("complete").as_bool());
   CPPUNIT_ASSERT(fixture.operate("GET", "/metrics").body.find("hawthornnotch_") !=
