--- a/include/hawthornnotch/load/results.h
+++ b/include/hawthornnotch/load/results.h
@@ -100,6 +100,8 @@
   std::uint64_t false_not_run = 0;
   std::uint64_t orders_checked = 0;
   std::vector<std::string> faults;
+  /// Requests without an answer, by class and error code.
+  std::map<std::string, std::uint64_t> errors;
   /// First wrong answers, for the reader.
   std::vector<std::string> wrong;
   [[nodiscard]] double tokens_wasted() const;
--- a/src/load/result_file.cpp
+++ b/src/load/result_file.cpp
@@ -118,6 +118,11 @@
   into["false_not_run"] = result.false_not_run;
   into["orders_checked"] = result.orders_checked;
   into["faults"] = texts_to_json(result.faults);
+  json::object errors;
+  for (const auto& [name, count] : result.errors) {
+    errors[name] = count;
+  }
+  into["errors"] = std::move(errors);
   into["wrong"] = texts_to_json(result.wrong);
   return into;
 }
--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -204,10 +204,21 @@
       check_orders(samples_, after_, result);
     }
     result.faults = fault_lines_;
+    add_errors(result);
     add_wrong_lines(result);
     return result;
   }
 
+  void add_errors(run_result& result) const {
+    for (std::size_t index = 0; index < samples_.size(); ++index) {
+      const sample& done = samples_[index];
+      if (!done.error_code.empty()) {
+        const std::string& name = settings_.mix.kinds.at(planned_[index].kind).class_name;
+        ++result.errors[name + " " + done.error_code + " " + std::string(to_string(done.end))];
+      }
+    }
+  }
+
   void add_wrong_lines(run_result& result) const {
     for (std::size_t index = 0; index < samples_.size(); ++index) {
       const sample& done = samples_[index];
--- a/src/load/tables.cpp
+++ b/src/load/tables.cpp
@@ -136,6 +136,9 @@
                     static_cast<unsigned long long>(run.orders_checked),
                     static_cast<unsigned long long>(run.double_runs),
                     static_cast<unsigned long long>(run.false_not_run));
+  for (const auto& [name, count] : run.errors) {
+    text += "error: " + name + " " + std::to_string(count) + "\n";
+  }
   for (const std::string& line : run.faults) {
     text += "fault: " + line + "\n";
   }
