Resume streams that made progress without spending retries

Ruled out: a larger budget (it would let tries that repeat work multiply an overload); engines chosen again (the retry is refused before any choice). Change: a try after which no work is repeated costs no retry: nothing ran, or the next one resumes behind tokens this one brought. Failed tries are counted apart from preempted ones, so a preempted stream keeps all its tries.

--- a/include/hawthornnotch/policy/request_record.h
+++ b/include/hawthornnotch/policy/request_record.h
@@ -27,8 +27,12 @@
   request_phase phase = request_phase::queued;
   /// Tries so far.
   std::uint32_t attempt = 0;
+  /// Tries that failed; a preempted one did not.
+  std::uint32_t failures = 0;
   /// Tokens of all tries that the caller has.
   std::uint32_t tokens = 0;
+  /// The same when the running or the last try began.
+  std::uint32_t tokens_before = 0;
   /// Server of the running or the last try.
   std::shared_ptr<server_state> server;
   /// Where the last try failed.
--- a/include/hawthornnotch/policy/service_queue.h
+++ b/include/hawthornnotch/policy/service_queue.h
@@ -61,6 +61,7 @@
   [[nodiscard]] const scheduler_totals& totals() const { return totals_; }
 
  private:
+  [[nodiscard]] bool may_retry(request_record& record, attempt_end end);
   using record_map = std::unordered_map<ticket, std::unique_ptr<request_record>>;
   using by_dispatch = std::set<std::pair<std::int64_t, ticket>>;
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -94,7 +94,8 @@
     const auto [error, count] =
         co_await http::async_read_header(*stream_, buffer_, parser_, as_result);
     if (error) {
-      co_return failed{net_failure{cancelled_ ? net_failure_kind::cancelled : kind_of(error), true}};
+      co_return failed{
+          net_failure{cancelled_ ? net_failure_kind::cancelled : kind_of(error), true}};
     }
     head_.status = parser_.get().result_int();
     for (const auto& field : parser_.get()) {
--- a/src/policy/service_events.cpp
+++ b/src/policy/service_events.cpp
@@ -78,6 +78,21 @@
   forget(request, end, now);
 }
 
+// A try after which no work is repeated costs the workspace no retry: nothing ran, or the next try
+// resumes behind tokens that this one brought.  Tries that repeat work are kept to a share, so that
+// they can't multiply an overload.
+bool service_queue::may_retry(request_record& record, attempt_end end) {
+  const bool nothing_ran = end == attempt_end::connect_failed;
+  if (!record.profile.traffic_class.idempotent && !nothing_ran) {
+    return false;
+  }
+  if (++record.failures >= settings_.retry.most_attempts) {
+    return false;
+  }
+  const bool made_progress = record.tokens > record.tokens_before;
+  return nothing_ran || made_progress || record.workspace->take_retry();
+}
+
 bool service_queue::retry(ticket request, std::uint32_t attempt, attempt_end end, time_point now) {
   request_record* record = running(request, attempt);
   if (record == nullptr) {
@@ -88,10 +103,7 @@
   } else {
     record->server->on_failure(now);
   }
-  const bool nothing_ran = end == attempt_end::connect_failed;
-  const bool allowed = record->profile.traffic_class.idempotent || nothing_ran;
-  const bool again =
-      allowed && record->attempt < settings_.retry.most_attempts && record->workspace->take_retry();
+  const bool again = may_retry(*record, end);
   stop_running(*record, again, now);
   if (!again) {
     totals_.wasted_tokens += record->tokens;
--- a/src/policy/service_queue.cpp
+++ b/src/policy/service_queue.cpp
@@ -277,6 +277,7 @@
   record.dispatched = now;
   record.first_uncounted = false;
   ++record.attempt;
+  record.tokens_before = record.tokens;
   chosen.server->begin(now);
   chooser_.ran(record.profile.prefix_hash, chosen.server);
   if (const auto index = candidates_.index_of(chosen.server.get())) {
--- a/tests/policy/scheduler_test.cpp
+++ b/tests/policy/scheduler_test.cpp
@@ -52,6 +52,50 @@
                  std::get<assigned>(second.at(0)).backend_server);
 }
 
+// Takes decisions until the request is assigned, and brings `tokens` tokens of that try.
+std::uint32_t run_until_tokens(policy_case& fixture, ticket asked, std::uint32_t tokens) {
+  for (const decision& next : fixture.decides().take_decisions()) {
+    const auto* sent = std::get_if<assigned>(&next);
+    if (sent != nullptr && sent->request == asked) {
+      fixture.decides().on_first_token(asked, sent->attempt);
+      fixture.decides().on_tokens(asked, sent->attempt, tokens);
+      return sent->attempt;
+    }
+  }
+  return 0;
+}
+
+TEST_THAT(scheduler, resumes_streams_that_made_progress_beyond_the_retry_budget) {
+  constexpr int streams = 40;
+  policy_case fixture({});
+  fixture.apply_servers(2);
+  for (int number = 0; number < streams; ++number) {
+    const ticket asked = fixture.submit(0);
+    const std::uint32_t attempt = run_until_tokens(fixture, asked, 3);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(number), attempt > 0);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(number),
+                           fixture.decides().retry(asked, attempt, attempt_end::stream_failed));
+    fixture.decides().on_caller_gone(asked);
+    fixture.time().advance(60_s);
+  }
+}
+
+TEST_THAT(scheduler, keeps_tries_that_repeat_work_to_the_retry_budget) {
+  constexpr int streams = 40;
+  policy_case fixture({});
+  fixture.apply_servers(2);
+  int repeated = 0;
+  for (int number = 0; number < streams; ++number) {
+    const ticket asked = fixture.submit(0);
+    const std::uint32_t attempt = run_until_tokens(fixture, asked, 0);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(number), attempt > 0);
+    repeated += fixture.decides().retry(asked, attempt, attempt_end::stream_failed) ? 1 : 0;
+    fixture.decides().on_caller_gone(asked);
+    fixture.time().advance(60_s);
+  }
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(repeated), repeated < streams / 2);
+}
+
 TEST_THAT(scheduler, sends_nothing_to_a_leaving_server_though_a_later_snapshot_forgets_it) {
   policy_case fixture({});
   fixture.apply_servers(1, true);
--- a/tests/router/router_fixture.cpp
+++ b/tests/router/router_fixture.cpp
@@ -137,8 +137,8 @@
 
 net::http_response router_fixture::send(const endpoint& to, net::http_request request) {
   const net::exchange_limits limits;
-  auto answer = boost::asio::co_spawn(
-      calls_, http_->fetch(to, std::move(request), limits), boost::asio::use_future);
+  auto answer = boost::asio::co_spawn(calls_, http_->fetch(to, std::move(request), limits),
+                                      boost::asio::use_future);
   calls_.restart();
   calls_.run();
   auto seen = answer.get();
