--- a/src/policy/request_queue.cpp
+++ b/src/policy/request_queue.cpp
@@ -1,5 +1,7 @@
 #include "hawthornnotch/policy/request_queue.h"
 
+#include <algorithm>
+
 namespace hawthornnotch::policy {
 
 void request_queue::add(const queued_request& entry) {
@@ -89,12 +91,12 @@
 }
 
 std::optional<std::uint64_t> request_queue::newest_of_lowest() const {
-  for (auto queue = tiers_.rbegin(); queue != tiers_.rend(); ++queue) {
-    if (!queue->by_arrival.empty()) {
-      return *queue->by_arrival.rbegin();
-    }
+  const auto lowest = std::find_if(tiers_.rbegin(), tiers_.rend(),
+                                   [](const auto& queue) { return !queue.by_arrival.empty(); });
+  if (lowest == tiers_.rend()) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return *lowest->by_arrival.rbegin();
 }
 
 std::size_t request_queue::size(tier service_tier) const {
--- a/src/policy/shard.cpp
+++ b/src/policy/shard.cpp
@@ -1,5 +1,7 @@
 #include "hawthornnotch/policy/shard.h"
 
+#include <algorithm>
+
 namespace hawthornnotch::policy {
 
 service_queue* shard::queue_of(ticket request) {
@@ -23,12 +25,9 @@
     const request_record* record = found->second->find(request);
     return record == nullptr ? std::vector<choice_note>() : record->notes;
   }
-  for (auto each = ended.rbegin(); each != ended.rend(); ++each) {
-    if (each->first == request) {
-      return each->second;
-    }
-  }
-  return {};
+  const auto newest = std::find_if(ended.rbegin(), ended.rend(),
+                                   [&](const auto& each) { return each.first == request; });
+  return newest == ended.rend() ? std::vector<choice_note>() : newest->second;
 }
 
 }  // namespace hawthornnotch::policy
--- a/src/router/rejection.cpp
+++ b/src/router/rejection.cpp
@@ -1,5 +1,6 @@
 #include "hawthornnotch/router/rejection.h"
 
+#include <array>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -8,6 +9,7 @@
 namespace {
 
 struct code_entry {
+  reject_code code;
   std::string_view name;
   unsigned status;
   std::string_view type;
@@ -18,71 +20,73 @@
 constexpr std::string_view overloaded_type = "overloaded_error";
 constexpr std::string_view unavailable = "unavailable_error";
 
-code_entry entry_of(reject_code code) {
-  switch (code) {
-    case reject_code::malformed_body:
-      return {"malformed_body", 400, invalid, "the body is not a valid request"};
-    case reject_code::unsupported_request:
-      return {"unsupported_request", 400, invalid, "the request asks for what is not supported"};
-    case reject_code::unknown_path:
-      return {"unknown_path", 404, invalid, "there is nothing at this path"};
-    case reject_code::method_not_allowed:
-      return {"method_not_allowed", 405, invalid, "the path does not take this method"};
-    case reject_code::unauthorized:
-      return {"unauthorized", 401, "authentication_error", "no workspace has this key"};
-    case reject_code::unknown_class:
-      return {"unknown_class", 400, invalid, "the workspace has no such request class"};
-    case reject_code::unknown_model:
-      return {"unknown_model", 404, invalid, "no backend server serves this name"};
-    case reject_code::model_not_allowed:
-      return {"model_not_allowed", 403, "permission_error", "the workspace may not call this"};
-    case reject_code::missing_idempotency_key:
-      return {"missing_idempotency_key", 400, invalid,
-              "the request class needs an Idempotency-Key header"};
-    case reject_code::bad_idempotency_key:
-      return {"bad_idempotency_key", 400, invalid,
-              "the Idempotency-Key must be 1 to 200 printable characters"};
-    case reject_code::key_conflict:
-      return {"key_conflict", 422, invalid, "the Idempotency-Key was used with another request"};
-    case reject_code::in_progress:
-      return {"in_progress", 409, "conflict_error", "a request with this key is in progress"};
-    case reject_code::outcome_unknown:
-      return {"outcome_unknown", 409, "conflict_error",
-              "a request with this key may have run; its result is not known"};
-    case reject_code::answer_not_kept:
-      return {"answer_not_kept", 409, "conflict_error",
-              "the request ran once; its answer was too long to keep"};
-    case reject_code::not_ready:
-      return {"not_ready", 503, unavailable, "the router has no configuration yet"};
-    case reject_code::stopping:
-      return {"stopping", 503, unavailable, "the router is stopping"};
-    case reject_code::no_backend_server:
-      return {"no_backend_server", 503, unavailable, "no backend server is available"};
-    case reject_code::workspace_rate:
-      return {"workspace_rate", 429, "rate_limit_error", "the workspace's rate is used up"};
-    case reject_code::workspace_queue:
-      return {"workspace_queue", 429, "rate_limit_error", "the workspace's queue is full"};
-    case reject_code::queue_full:
-      return {"queue_full", 503, overloaded_type, "the queue is full"};
-    case reject_code::queue_limit_passed:
-      return {"queue_limit_passed", 503, overloaded_type, "the request waited too long"};
-    case reject_code::retry_budget:
-      return {"retry_budget", 503, overloaded_type, "the retries are used up"};
-    case reject_code::platform_down:
-      return {"platform_down", 503, unavailable, "the request can't be claimed now"};
-    case reject_code::platform_slow:
-      return {"platform_slow", 503, unavailable, "the request could not be claimed in time"};
-    case reject_code::claim_table_full:
-      return {"claim_table_full", 503, overloaded_type, "too many requests are being claimed"};
-    case reject_code::backend_failed:
-      return {"backend_failed", 502, "backend_error", "the backend server failed"};
-    case reject_code::answer_too_large:
-      return {"answer_too_large", 502, "backend_error", "the backend server's answer is too large"};
-    case reject_code::unknown_request:
-      return {"unknown_request", 404, invalid, "nothing is known of this request"};
+// In the order of the enumeration.
+constexpr std::array entries = std::to_array<code_entry>({
+    {reject_code::malformed_body, "malformed_body", 400, invalid,
+     "the body is not a valid request"},
+    {reject_code::unsupported_request, "unsupported_request", 400, invalid,
+     "the request asks for what is not supported"},
+    {reject_code::unknown_path, "unknown_path", 404, invalid, "there is nothing at this path"},
+    {reject_code::method_not_allowed, "method_not_allowed", 405, invalid,
+     "the path does not take this method"},
+    {reject_code::unauthorized, "unauthorized", 401, "authentication_error",
+     "no workspace has this key"},
+    {reject_code::unknown_class, "unknown_class", 400, invalid,
+     "the workspace has no such request class"},
+    {reject_code::unknown_model, "unknown_model", 404, invalid,
+     "no backend server serves this name"},
+    {reject_code::model_not_allowed, "model_not_allowed", 403, "permission_error",
+     "the workspace may not call this"},
+    {reject_code::missing_idempotency_key, "missing_idempotency_key", 400, invalid,
+     "the request class needs an Idempotency-Key header"},
+    {reject_code::bad_idempotency_key, "bad_idempotency_key", 400, invalid,
+     "the Idempotency-Key must be 1 to 200 printable characters"},
+    {reject_code::key_conflict, "key_conflict", 422, invalid,
+     "the Idempotency-Key was used with another request"},
+    {reject_code::in_progress, "in_progress", 409, "conflict_error",
+     "a request with this key is in progress"},
+    {reject_code::outcome_unknown, "outcome_unknown", 409, "conflict_error",
+     "a request with this key may have run; its result is not known"},
+    {reject_code::answer_not_kept, "answer_not_kept", 409, "conflict_error",
+     "the request ran once; its answer was too long to keep"},
+    {reject_code::not_ready, "not_ready", 503, unavailable, "the router has no configuration yet"},
+    {reject_code::stopping, "stopping", 503, unavailable, "the router is stopping"},
+    {reject_code::no_backend_server, "no_backend_server", 503, unavailable,
+     "no backend server is available"},
+    {reject_code::workspace_rate, "workspace_rate", 429, "rate_limit_error",
+     "the workspace's rate is used up"},
+    {reject_code::workspace_queue, "workspace_queue", 429, "rate_limit_error",
+     "the workspace's queue is full"},
+    {reject_code::queue_full, "queue_full", 503, overloaded_type, "the queue is full"},
+    {reject_code::queue_limit_passed, "queue_limit_passed", 503, overloaded_type,
+     "the request waited too long"},
+    {reject_code::retry_budget, "retry_budget", 503, overloaded_type, "the retries are used up"},
+    {reject_code::platform_down, "platform_down", 503, unavailable,
+     "the request can't be claimed now"},
+    {reject_code::platform_slow, "platform_slow", 503, unavailable,
+     "the request could not be claimed in time"},
+    {reject_code::claim_table_full, "claim_table_full", 503, overloaded_type,
+     "too many requests are being claimed"},
+    {reject_code::backend_failed, "backend_failed", 502, "backend_error",
+     "the backend server failed"},
+    {reject_code::answer_too_large, "answer_too_large", 502, "backend_error",
+     "the backend server's answer is too large"},
+    {reject_code::unknown_request, "unknown_request", 404, invalid,
+     "nothing is known of this request"},
+});
+
+constexpr bool is_in_order() {
+  for (std::size_t index = 0; index < entries.size(); ++index) {
+    if (static_cast<std::size_t>(entries[index].code) != index) {
+      return false;
+    }
   }
-  return {};
+  return true;
 }
+static_assert(is_in_order());
+static_assert(entries.size() == static_cast<std::size_t>(reject_code::unknown_request) + 1);
+
+const code_entry& entry_of(reject_code code) { return entries.at(static_cast<std::size_t>(code)); }
 
 constexpr std::int64_t ms_per_second = 1000;
 
@@ -105,7 +109,7 @@
 unsigned status_of(reject_code code) { return entry_of(code).status; }
 
 std::string error_body(const rejection& why) {
-  const code_entry entry = entry_of(why.code);
+  const code_entry& entry = entry_of(why.code);
   std::string message(entry.message);
   if (!why.detail.empty()) {
     message += ": " + why.detail;
