--- a/bench/slopes/run.py
+++ b/bench/slopes/run.py
@@ -22,6 +22,7 @@
 
 FLEETS_AT_ONCE = 4
 SETTLE_S = 3
+PEERS_SETTLE_S = 30
 NO_POLLS_MS = 600_000
 HERE = os.path.dirname(os.path.abspath(__file__))
 
@@ -43,14 +44,14 @@
 
 
 def plain(one, window, *, pairs=2, servers=20, workspaces=10, engines=4, poll_ms=NO_POLLS_MS,
-          prepare=None, during=None, agent_settings=None, models=("model-0",)):
+          prepare=None, during=None, agent_settings=None, models=("model-0",), pause=SETTLE_S):
     one.start_engines(engines, models)
     one.make_workspaces(workspaces)
     one.announce(servers, engines, models)
     if prepare:
         prepare(one)
     start_pairs(one, pairs, poll_ms=poll_ms, **(agent_settings or {}))
-    settle(one, servers, workspaces, pairs)
+    settle(one, servers, workspaces, pairs, pause)
     return measure(one, window, during and (lambda ended: during(one, ended)))
 
 
@@ -97,6 +98,13 @@
 
 
 def peers(one, window, size):
+    # Long enough for each pair of agents to have acknowledged all facts to each other.
+    point = plain(one, window, pairs=size, servers=100, workspaces=50, pause=PEERS_SETTLE_S)
+    point["change_in_force_s"] = time_in_force(one)
+    return point
+
+
+def peers_starting(one, window, size):
     point = plain(one, window, pairs=size, servers=100, workspaces=50)
     point["change_in_force_s"] = time_in_force(one)
     return point
@@ -199,6 +207,7 @@
     "workspaces": (workspaces, (10, 100, 290)),
     "changes": (changes, (0.5, 1, 2, 4)),
     "peers": (peers, (1, 2, 4, 8, 16, 32)),
+    "peers_starting": (peers_starting, (1, 2, 4, 8, 16, 32)),
     "listed_elsewhere": (listed_elsewhere, (0, 1000, 4000, 11000)),
     "announced_elsewhere": (announced_elsewhere, (0, 1000, 4000)),
     "models": (models, (0, 10, 39)),
