--- a/bench/slopes/run.py
+++ b/bench/slopes/run.py
@@ -139,9 +139,7 @@
     orders = {"orders": {"replicas": {name: 2 for name in names[:size]},
                          "models_per_engine": 64}} if size else {}
     point = plain(one, window, servers=20, models=names, poll_ms=1000, agent_settings=orders)
-    point["holders"] = [bool((one.dump(n).get("lease") or {}).get("held")
-                             or (one.dump(n).get("lease") or {}).get("holding"))
-                        for n in range(2)]
+    point["holders"] = [one.dump(number)["lease"]["phase"] == "holding" for number in range(2)]
     point["lease_dump"] = str(one.dump(0).get("lease"))[:300]
     return point
 
