Let sanitizer builds pass g++'s false warnings

Cause: scripts/sanitize.sh thread stopped on -Werror=tsan in Asio's fences; -Wno-error stood before -Werror and had no effect. Change: warnings are errors only without a sanitizer; only the programs asked for are built. Result: ThreadSanitizer, router_test 28 passed and policy_test 25 passed, no report. The other test programs were not run under it at this commit.

--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -9,9 +9,8 @@
 set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1")
 
 set(HAWTHORNNOTCH_SANITIZE "" CACHE STRING "address, thread or empty")
-# Sanitizers make g++ 12 report uninitialized members falsely, so there warnings are no errors.
 if(HAWTHORNNOTCH_SANITIZE)
-  add_compile_options(-O1 -Wno-error)
+  add_compile_options(-O1)
   add_compile_options(-fsanitize=${HAWTHORNNOTCH_SANITIZE} -fno-omit-frame-pointer)
   add_link_options(-fsanitize=${HAWTHORNNOTCH_SANITIZE})
 endif()
@@ -24,7 +23,13 @@
 endif()
 
 # g++ 12 reports these two falsely: on string concatenation and on coroutine frames of Asio.
-add_compile_options(-Wall -Wextra -Wshadow -Werror -Wno-restrict -Wno-mismatched-new-delete)
+add_compile_options(-Wall -Wextra -Wshadow -Wno-restrict -Wno-mismatched-new-delete)
+# Sanitizers make it report uninitialized members and Asio's fences falsely: no errors there.
+if(HAWTHORNNOTCH_SANITIZE)
+  add_compile_options(-Wno-tsan)
+else()
+  add_compile_options(-Werror)
+endif()
 add_compile_definitions(
   BOOST_ASIO_SEPARATE_COMPILATION BOOST_BEAST_SEPARATE_COMPILATION
   BOOST_LOG_DYN_LINK BOOST_ALL_NO_LIB)
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -6,7 +6,11 @@
 cd "$(dirname "$0")/.."
 kind=${1:?address or thread}; shift
 folder=build-$kind
-scripts/build.sh "$folder" "$kind" >"$folder.log" 2>&1 || { tail -20 "$folder.log"; exit 1; }
+cmake -S . -B "$folder" -G Ninja -DHAWTHORNNOTCH_SANITIZE="$kind" >/dev/null || exit 1
+targets=${*:-all}
+# shellcheck disable=SC2086
+cmake --build "$folder" --target $targets -- -j "${JOBS:-$(nproc)}" >"$folder.log" 2>&1 ||
+  { grep error: "$folder.log" | head -20; exit 1; }
 programs=${*:-$(cat "$folder/tests.txt")}
 failed=0
 for program in $programs; do
