Reserve the servers of the ejection test; announce enough slots for the overhead run

Cause: lint found a vector grown in a loop; at 2000 requests/s the overhead run was bounded by the 32 slots that the samples announce, not by the router. Change: the run announces 512 slots for each engine.

--- a/bench/overhead.sh
+++ b/bench/overhead.sh
@@ -10,6 +10,7 @@
 token_ms=(0 1 1 1 1)
 first_token_ms=(0 5 5 5 5)
 router_extra='.threads = 2'
+vms_extra='map(if .slots then .slots = 512 else . end)'
 start_engine() {
   start "engine-$1" "$bin/standin-engine" --listen "$(engine "$1")" --models forecast-7b,contracts-13b \
     --first-token-ms "${first_token_ms[$1]}" --token-ms "${token_ms[$1]}" --slots 512 --longest 64
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -72,7 +72,7 @@
 }
 
 # The processes of samples/02-two-routers, from folder $bin; extra settings of the routers from
-# $router_extra, a jq expression.  The ports of the samples begin with 24; PORT_PREFIX sets another
+# $router_extra and of the announced VMs from $vms_extra, jq expressions.  The ports of the samples begin with 24; PORT_PREFIX sets another
 # beginning, so that two runs can go on side by side.
 prefix=${PORT_PREFIX:-24}
 samples=$work/samples
@@ -124,7 +124,8 @@
   start_standins
   wait_until 10 "the platform stand-in" answers "http://$platform/standin/counters" || return 1
   for number in 1 2; do start_agent "$number"; start_router "$number"; done
-  ctl vm announce "$samples"/02-two-routers/vms.json || return 1
+  jq "${vms_extra:-.}" "$samples"/02-two-routers/vms.json >"$work/vms.json"
+  ctl vm announce "$work/vms.json" || return 1
   local folder
   for folder in 03-poledica/templates/dispatch 04-roundabout/templates/counter \
     03-poledica/workspaces/poledica-dispatch 04-roundabout/workspaces/roundabout-counter; do
--- a/tests/policy/parts_test.cpp
+++ b/tests/policy/parts_test.cpp
@@ -83,8 +83,10 @@
 TEST_THAT(candidate_set, ejects_a_failing_server_though_a_slow_one_is_ejected_already) {
   const scheduler_settings settings;
   candidate_set candidates(settings.ejection);
+  constexpr int count = 4;
   std::vector<candidate> servers;
-  for (int number = 0; number < 4; ++number) {
+  servers.reserve(count);
+  for (int number = 0; number < count; ++number) {
     servers.emplace_back(
         candidate{std::make_shared<server_state>(policy_case::server(number, false), settings,
                                                  server_speed{}),
