--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -37,6 +37,12 @@
 find_package(Threads REQUIRED)
 find_package(Boost 1.81 REQUIRED COMPONENTS log json thread)
 find_package(OpenSSL REQUIRED)
+set(HAWTHORNNOTCH_IO_LIBRARIES
+  Boost::log Boost::json Boost::thread OpenSSL::Crypto docopt Threads::Threads)
+
+option(HAWTHORNNOTCH_ENTRY_ONLY "Build hawthornnotch-entry and nothing else" OFF)
+if(HAWTHORNNOTCH_ENTRY_ONLY)
+  return()
+endif()
 set(HAWTHORNNOTCH_EDGE_LIBRARIES
-  Boost::log Boost::json Boost::thread OpenSSL::Crypto docopt
-  jsonrpccpp-server jsonrpccpp-client jsonrpccpp-common jsoncpp Threads::Threads)
+  jsonrpccpp-server jsonrpccpp-client jsonrpccpp-common jsoncpp)
--- /dev/null
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -0,0 +1,131 @@
+/// \file
+/// Chooses the backend server of each request.
+#ifndef HAWTHORNNOTCH_DISPATCH_DISPATCHER_H_
+#define HAWTHORNNOTCH_DISPATCH_DISPATCHER_H_
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/base/random.h"
+#include "hawthornnotch/base/result.h"
+#include "hawthornnotch/dispatch/prompt.h"
+#include "hawthornnotch/dispatch/server_state.h"
+#include "hawthornnotch/relay/exchange.h"
+#include "hawthornnotch/servers/server_list.h"
+
+namespace hawthornnotch::dispatch {
+
+/// What the choice depends on.
+struct placement_query {
+  std::string_view service;
+  /// Empty for a service that is no model engine.
+  std::span<const prompt_prefix> prefixes;
+  /// Longest pause between events that the caller expects; 0 for none.
+  duration target_gap;
+  /// Servers that this request was sent to before.
+  std::span<const std::string> tried;
+  time_point now;
+};
+
+/// A chosen server and why.
+struct placement {
+  servers::server_entry server;
+  /// Tokens that the server probably has to read.
+  std::uint32_t uncached_tokens = 0;
+  /// Estimated time to the first event, in ms.
+  double expected_ms = 0;
+  /// What the choice minimized, in ms.
+  double cost_ms = 0;
+  /// Requests known to run there.
+  std::uint32_t running = 0;
+  /// Servers compared.
+  std::uint32_t candidates = 0;
+};
+
+enum class placement_failure : std::uint8_t {
+  /// The service has no server that takes work.
+  no_server,
+  /// All servers were tried, or failed lately.
+  none_left,
+};
+
+/// One sending of a request, from `sent` to `ended`.
+struct sending {
+  std::string server;
+  std::int64_t born_ms = 0;
+  std::uint32_t uncached_tokens = 0;
+  std::vector<prompt_prefix> prefixes;
+  time_point sent_at;
+  time_point last_event_at;
+  bool first_event_seen = false;
+};
+
+/// Shown in logs and metrics.
+struct server_summary {
+  std::string id;
+  std::uint32_t running = 0;
+  std::uint64_t prefill_tokens = 0;
+  double usual_gap_ms = 0;
+  double failure_share = 0;
+};
+
+/// Chooses by expected time, over all servers of the service.
+///
+/// A prompt goes where its shared parts are: to the server that a rendezvous hash names, which all
+/// entry VMs compute alike without talking, unless the work waiting there costs more time than
+/// reading the parts again elsewhere.  The load patterns it answers: long shared prompts, a part
+/// that many ask for at once, servers of unlike and changing speed, servers that fail some of
+/// their requests.
+///
+/// Example:
+///     auto chosen = dispatcher.choose(query);
+///     sending sent = dispatcher.sent(*chosen, prefixes, now);
+///     dispatcher.events(sent, 1, now);
+///     dispatcher.ended(sent, send_end::completed, now);
+/// Ownership: refers to the list, which outlives it.  Thread safety: none.
+class dispatcher {
+ public:
+  dispatcher(const servers::server_list& list, std::string failure_domain, std::uint64_t seed);
+
+  [[nodiscard]] result<placement, placement_failure> choose(const placement_query& query);
+  /// The request goes to the chosen server now.
+  [[nodiscard]] sending sent(const placement& chosen, std::vector<prompt_prefix> prefixes,
+                             time_point now);
+  /// Events of the answer arrived; for a whole answer, call once with 1.
+  void events(sending& what, std::uint32_t count, time_point now);
+  void ended(const sending& what, send_end end, time_point now);
+  /// Work of other entry VMs, which replaces what was known of it.
+  void apply_peer_work(const std::map<std::string, relay::server_work, std::less<>>& work);
+  /// Forgets servers that are gone; call after the list changed.
+  void forget_gone();
+  /// \returns own work by server, for peers.
+  [[nodiscard]] std::vector<relay::server_work> own_work() const;
+  [[nodiscard]] std::vector<server_summary> summary() const;
+
+ private:
+  server_state& state_of(const servers::server_entry& server);
+  server_state* state_of(const sending& what);
+  [[nodiscard]] double usual_gap_of_fleet() const;
+  /// Time that one prompt token takes on a server, in ms.
+  [[nodiscard]] double token_ms(const server_state& state, double fleet_gap) const;
+  void weigh_engine(const placement_query& query, const server_state& state, std::uint32_t rank,
+                    double fleet_gap, placement& out) const;
+  void weigh_service(const server_state& state, placement& out) const;
+  void learn_prefill(const sending& what, const server_state& state, time_point now);
+
+  const servers::server_list& list_;
+  std::string failure_domain_;
+  random_source random_;
+  std::map<std::string, server_state, std::less<>> states_;
+  /// Prompt tokens that a server of usual speed reads in a millisecond.
+  double tokens_per_ms_;
+};
+
+}  // namespace hawthornnotch::dispatch
+
+#endif  // HAWTHORNNOTCH_DISPATCH_DISPATCHER_H_
--- /dev/null
+++ b/include/hawthornnotch/dispatch/server_state.h
@@ -0,0 +1,82 @@
+/// \file
+/// What this process knows of one backend server from its own requests.
+#ifndef HAWTHORNNOTCH_DISPATCH_SERVER_STATE_H_
+#define HAWTHORNNOTCH_DISPATCH_SERVER_STATE_H_
+
+#include <cstdint>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/dispatch/prefix_cache.h"
+#include "hawthornnotch/dispatch/quantile.h"
+#include "hawthornnotch/policy/decaying_mean.h"
+
+namespace hawthornnotch::dispatch {
+
+/// How one sending of a request ended.
+enum class send_end : std::uint8_t {
+  completed,
+  /// A whole answer that reports the server's own failure.
+  server_error,
+  /// The server refused the request without running it.
+  refused,
+  /// No connection: nothing was sent.
+  not_connected,
+  /// Cut, malformed, silent or late.
+  broken,
+  /// The caller left or its time was over; says nothing about the server.
+  abandoned,
+};
+
+/// Outcomes of one server: a share of failures, and a time during which it is avoided.
+class server_health {
+ public:
+  void record(send_end end, time_point now);
+  /// \returns the share of recent sendings that failed, 0 to 1.
+  [[nodiscard]] double failure_share() const { return failures_.value(); }
+  /// \returns whether the server is passed over while others can take the request.
+  [[nodiscard]] bool avoided(time_point now) const { return now < avoid_until_; }
+  /// \returns when it may be tried again.
+  [[nodiscard]] time_point avoided_until() const { return avoid_until_; }
+
+ private:
+  /// Age at which an outcome counts half.
+  static constexpr duration half_life{2'000};
+  /// First time of avoidance after a failure; doubles with each further failure in a row.
+  static constexpr duration first_avoidance{250};
+  static constexpr duration longest_avoidance{4'000};
+  /// Weight of the assumption that a server does not fail.
+  static constexpr double prior_weight = 2.0;
+  policy::decaying_mean failures_{half_life, 0.0, prior_weight};
+  std::uint32_t broken_in_row_ = 0;
+  time_point avoid_until_;
+};
+
+/// Requests, speed, health and cache of one start of a backend server.
+struct server_state {
+  /// Start that the state belongs to.
+  std::int64_t born_ms = 0;
+  /// Own requests sent and not ended.
+  std::uint32_t running = 0;
+  /// Own prompt tokens sent whose request has no first event yet.
+  std::uint64_t prefill_tokens = 0;
+  /// The same of other entry VMs.
+  std::uint32_t peer_running = 0;
+  std::uint64_t peer_prefill_tokens = 0;
+  /// Time between two events of a stream when nothing disturbs it, in ms.
+  running_quantile usual_gap{0.3};
+  /// Time between two events that only few exceed, in ms.
+  running_quantile long_gap{0.95};
+  /// Time to the whole answer, for servers that are no engines, in ms.
+  policy::decaying_mean answer_ms{duration{3'000}, 0.0, 0.0001};
+  server_health health;
+  prefix_cache cache;
+
+  [[nodiscard]] std::uint32_t all_running() const { return running + peer_running; }
+  [[nodiscard]] std::uint64_t all_prefill_tokens() const {
+    return prefill_tokens + peer_prefill_tokens;
+  }
+};
+
+}  // namespace hawthornnotch::dispatch
+
+#endif  // HAWTHORNNOTCH_DISPATCH_SERVER_STATE_H_
--- /dev/null
+++ b/include/hawthornnotch/gateway/settings.h
@@ -0,0 +1,43 @@
+/// \file
+/// Settings of `hawthornnotch-entry`.
+#ifndef HAWTHORNNOTCH_GATEWAY_SETTINGS_H_
+#define HAWTHORNNOTCH_GATEWAY_SETTINGS_H_
+
+#include <boost/json/object.hpp>
+#include <string>
+#include <vector>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/base/result.h"
+#include "hawthornnotch/config/json_reader.h"
+#include "hawthornnotch/dispatch/retry_budget.h"
+#include "hawthornnotch/member/fleet.h"
+#include "hawthornnotch/observe/log.h"
+
+namespace hawthornnotch::gateway {
+
+struct gateway_settings {
+  std::string vm;
+  std::string failure_domain;
+  endpoint callers;
+  endpoint readiness;
+  endpoint peers;
+  endpoint metrics;
+  endpoint store;
+  /// Other entry VMs to ask at the start; may be out of date.
+  std::vector<endpoint> seeds;
+  /// Descriptors that the process may open.
+  std::uint32_t descriptors = 1024;
+  /// Time from SIGTERM to SIGKILL.
+  duration stop_grace{8'000};
+  dispatch::retry_budget_settings retries;
+  observe::log_settings log;
+};
+
+/// \returns the settings, or what is wrong with them.
+result<gateway_settings, settings_failure> parse_gateway_settings(
+    const boost::json::object& object);
+
+}  // namespace hawthornnotch::gateway
+
+#endif  // HAWTHORNNOTCH_GATEWAY_SETTINGS_H_
--- a/include/hawthornnotch/net/http_client.h
+++ b/include/hawthornnotch/net/http_client.h
@@ -49,6 +49,12 @@
   std::uint64_t body_bytes = 16 * 1024 * 1024;
   /// False opens a fresh connection, so that no stale one can swallow the request.
   bool reuse_connection = true;
+  /// Asked for the head of each answer; false skips that answer as one to an earlier request on
+  /// the same connection.  Null: every answer is taken.
+  std::function<bool(const http_response& head)> is_expected;
+  /// Without an answer to sent bytes for this long, the operating system ends the connection;
+  /// 0 leaves that to its default.
+  duration unacknowledged_timeout{0};
   /// Asked once, right before the first byte of the request goes out on a connection that stands;
   /// false ends the exchange as `cancelled` with nothing sent.  Null: always sent.
   std::function<bool()> may_send;
@@ -70,6 +76,16 @@
   virtual void cancel() = 0;
 };
 
+/// Which connections are kept for further requests.
+struct idle_connections {
+  std::size_t per_endpoint = 8;
+  /// Longest time that a connection is kept where the peer does not state its own.
+  duration lifetime{60'000};
+  /// A connection is not used in the last part of the time that the peer states in `Keep-Alive`,
+  /// since the peer may be closing it.
+  duration safety_margin{500};
+};
+
 /// Sends requests and keeps idle connections per endpoint, in shards each under its own lock.
 ///
 /// Example:
@@ -81,6 +97,8 @@
 /// on the executor of the coroutine that awaits it, which is a strand where several threads run.
 class http_client {
  public:
+  /// \param kept which idle connections are kept.
+  [[nodiscard]] static std::unique_ptr<http_client> create(idle_connections kept);
   /// \param idle_per_endpoint how many idle connections are kept for each endpoint.
   [[nodiscard]] static std::unique_ptr<http_client> create(std::size_t idle_per_endpoint);
   virtual ~http_client() = default;
--- a/include/hawthornnotch/net/http_server.h
+++ b/include/hawthornnotch/net/http_server.h
@@ -21,6 +21,9 @@
   std::uint32_t header_bytes = 16 * 1024;
   std::uint64_t body_bytes = 4 * 1024 * 1024;
   std::size_t connections = 4096;
+  /// From a request's first byte to the end of its head.
+  duration head_timeout{10'000};
+  /// From the end of the head to the end of the body.
   duration read_timeout{10'000};
   /// Longest that one write may wait for a slow reader.
   duration write_timeout{30'000};
@@ -68,6 +71,8 @@
   virtual void close_after_answer() = 0;
   /// Stops listening; connections in progress go on.
   virtual void stop_accepting() = 0;
+  /// Holds for every request and every wait that begins from now on.
+  virtual void update_limits(server_limits limits) = 0;
   [[nodiscard]] virtual std::size_t open_connections() const = 0;
   /// Requests whose handler has not returned.
   [[nodiscard]] virtual std::size_t open_requests() const = 0;
--- a/include/hawthornnotch/platform/client.h
+++ b/include/hawthornnotch/platform/client.h
@@ -22,6 +22,8 @@
   overloaded,
   malformed_answer,
   lease_gone,
+  /// Changes since the revision of a watch are no longer known: read again.
+  history_gone,
 };
 
 /// Why a call has no answer.
--- /dev/null
+++ b/include/hawthornnotch/relay/exchange.h
@@ -0,0 +1,69 @@
+/// \file
+/// What entry VMs tell each other: who lives, how new their knowledge is, and what they have sent.
+#ifndef HAWTHORNNOTCH_RELAY_EXCHANGE_H_
+#define HAWTHORNNOTCH_RELAY_EXCHANGE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/base/result.h"
+#include "hawthornnotch/member/fleet.h"
+#include "hawthornnotch/servers/server_list.h"
+
+namespace hawthornnotch::relay {
+
+/// An entry VM and its sign of life.
+struct peer {
+  std::string vm;
+  std::string failure_domain;
+  endpoint address;
+  /// Differs for each start of the process.
+  std::string incarnation;
+  /// Rises while the process lives.
+  std::uint64_t heartbeat = 0;
+  /// True once the process stops.
+  bool leaving = false;
+};
+
+/// Work that one entry VM has outstanding at a backend server.
+struct server_work {
+  std::string server;
+  /// Requests sent and not ended.
+  std::uint32_t running = 0;
+  /// Prompt tokens of requests without a first event yet.
+  std::uint64_t prefill_tokens = 0;
+};
+
+/// One direction of an exchange.
+struct exchange_message {
+  peer from;
+  /// Version of the configuration that the sender has in force; 0 for none.
+  std::int64_t config_version = 0;
+  /// Revision of the sender's newest reading of the server list; 0 for none.
+  std::int64_t list_revision = 0;
+  /// Age of that reading when the message was sent.
+  duration list_age;
+  /// `digest_of` its entries.
+  std::uint64_t list_digest = 0;
+  std::vector<server_work> work;
+  std::vector<peer> peers;
+  /// The configuration as the platform holds it, where the receiver was seen to lack it.
+  std::optional<std::string> config;
+  /// The entries of the reading, where the receiver was seen to have others.
+  std::optional<std::vector<servers::server_entry>> list;
+};
+
+enum class codec_failure : std::uint8_t { malformed };
+
+/// \returns the message as JSON.
+std::string encode(const exchange_message& message);
+/// \returns the message, or `malformed` for anything that `encode` does not write.
+result<exchange_message, codec_failure> decode(std::string_view text);
+
+}  // namespace hawthornnotch::relay
+
+#endif  // HAWTHORNNOTCH_RELAY_EXCHANGE_H_
--- /dev/null
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -0,0 +1,93 @@
+/// \file
+/// The other entry VMs: who lives, whom to exchange with next, and who reads the store.
+#ifndef HAWTHORNNOTCH_RELAY_PEER_SET_H_
+#define HAWTHORNNOTCH_RELAY_PEER_SET_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/base/random.h"
+#include "hawthornnotch/relay/exchange.h"
+
+namespace hawthornnotch::relay {
+
+struct peer_set_settings {
+  /// A peer whose heartbeat has not risen for this long counts as dead.
+  duration lifetime{4'000};
+  /// A peer that is dead for this long is forgotten.
+  duration retention{60'000};
+  /// Peers passed on in one message.
+  std::size_t peers_in_message = 12;
+  /// Work reports older than this are not counted.
+  duration work_lifetime{2'000};
+};
+
+/// Merges what peers say of themselves and of each other.  The load pattern it answers: VMs that
+/// are killed, replaced and cut off at any time, also all at once.
+///
+/// Example:
+///     peer_set peers(self, {seed}, {}, clock.now());
+///     if (auto next = peers.next_contact(clock.now(), random)) { exchange(*next); }
+/// Ownership: a value.  Thread safety: none.
+class peer_set {
+ public:
+  /// \param seeds addresses to ask where no peer is known.
+  peer_set(peer self, std::vector<endpoint> seeds, peer_set_settings settings);
+
+  /// A message heard from a peer, in either direction.
+  void heard(const exchange_message& message, time_point now);
+  /// An exchange with this address failed.
+  void contact_failed(const endpoint& address, time_point now);
+  /// This process leaves; peers are told with the next exchange.
+  void leave() { self_.leaving = true; }
+  /// Replaces the seeds, e.g. when the settings changed.
+  void set_seeds(std::vector<endpoint> seeds) { seeds_ = std::move(seeds); }
+
+  /// \returns whom to exchange with next: each live peer in turn, now and then a seed that is not
+  /// known as a peer; none where there is nobody.
+  [[nodiscard]] std::optional<endpoint> next_contact(time_point now, random_source& random);
+  /// \returns addresses of all live peers.
+  [[nodiscard]] std::vector<endpoint> live_addresses(time_point now) const;
+  /// \returns live entry VMs, this one included; never 0.
+  [[nodiscard]] std::size_t live_count(time_point now) const;
+  /// \returns how many live entry VMs come before this one in the order in which they read the
+  /// store; 0 for the first.
+  [[nodiscard]] std::size_t reading_rank(time_point now) const;
+  /// \returns the sum of the newest work reports of live peers, by server.
+  [[nodiscard]] std::map<std::string, server_work, std::less<>> work_of_peers(time_point now) const;
+  /// What this process says of itself, with a new heartbeat.
+  [[nodiscard]] const peer& beat();
+  [[nodiscard]] const peer& self() const { return self_; }
+  /// Some live peers, to pass on.
+  [[nodiscard]] std::vector<peer> some_peers(time_point now) const;
+
+ private:
+  struct known_peer {
+    peer about;
+    time_point risen;
+    time_point work_at;
+    std::vector<server_work> work;
+    time_point avoid_until;
+  };
+
+  known_peer* learn(const peer& about, bool first_hand, time_point now);
+  void forget_old(time_point now);
+  [[nodiscard]] bool alive(const known_peer& known, time_point now) const;
+  [[nodiscard]] bool known_address(const endpoint& address) const;
+
+  peer self_;
+  std::vector<endpoint> seeds_;
+  peer_set_settings settings_;
+  std::map<std::string, known_peer, std::less<>> peers_;
+  std::string last_contact_;
+  std::uint64_t contacts_ = 0;
+};
+
+}  // namespace hawthornnotch::relay
+
+#endif  // HAWTHORNNOTCH_RELAY_PEER_SET_H_
--- /dev/null
+++ b/include/hawthornnotch/servers/server_list.h
@@ -0,0 +1,95 @@
+/// \file
+/// The backend servers that may get work, from readings of the platform's list.
+#ifndef HAWTHORNNOTCH_SERVERS_SERVER_LIST_H_
+#define HAWTHORNNOTCH_SERVERS_SERVER_LIST_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/servers/server_entry.h"
+
+namespace hawthornnotch::servers {
+
+/// One whole reading of the platform's list.
+struct list_reading {
+  /// Store revision at which it was read.
+  std::int64_t revision = 0;
+  /// When it was read, by this process's monotonic clock.
+  time_point read_at;
+  std::vector<server_entry> entries;
+};
+
+struct server_list_settings {
+  /// After an outage of the store, entries that lapsed meanwhile stay usable for this long.
+  duration return_time{2'000};
+  /// Time without a reading from which on the store counts as having been away.
+  duration outage{3'000};
+};
+
+/// What a reading changed, for logs.
+struct list_change {
+  std::vector<std::string> added;
+  std::vector<std::string> leaving;
+  std::vector<std::string> removed;
+  [[nodiscard]] bool empty() const { return added.empty() && leaving.empty() && removed.empty(); }
+};
+
+/// Merges readings in order of their revision.
+///
+/// A server that leaves never comes back under the same start.  An entry that is missing right
+/// after an outage is kept until the outage is over for `return_time`, because leases may have
+/// lapsed while the store was away; one that is missing at any other time is gone.
+///
+/// Example:
+///     server_list list({});
+///     list_change change = list.apply(reading, clock.now());
+///     for (const server_entry* server : list.serving("forecast")) { ... }
+/// Ownership: a value.  Thread safety: none.
+class server_list {
+ public:
+  explicit server_list(server_list_settings settings) : settings_(settings) {}
+
+  /// A reading by this process or by a peer.  One that is older than what is known is ignored.
+  list_change apply(const list_reading& reading, time_point now);
+
+  /// \returns the servers of a service that may get new work; valid until the next `apply`.
+  [[nodiscard]] const std::vector<const server_entry*>& serving(std::string_view service) const;
+  /// \returns the known entry, also of a server that leaves, or null.
+  [[nodiscard]] const server_entry* find(std::string_view id) const;
+  /// The newest reading, without the entries kept over an outage; none before the first.
+  [[nodiscard]] const std::optional<list_reading>& newest() const { return newest_; }
+  /// \returns how old the newest reading is; none before the first.
+  [[nodiscard]] std::optional<duration> age(time_point now) const;
+  [[nodiscard]] std::size_t size() const { return known_.size(); }
+  /// Rises with each change of the set that may get work.
+  [[nodiscard]] std::uint64_t version() const { return version_; }
+
+ private:
+  struct known_server {
+    server_entry entry;
+    /// Listed by the newest reading, not only kept.
+    bool listed = true;
+  };
+
+  void note_gap(const list_reading& reading);
+  void merge_listed(const list_reading& reading, list_change& change);
+  void drop_missing(const list_reading& reading, list_change& change);
+  void rebuild_index();
+
+  server_list_settings settings_;
+  std::optional<list_reading> newest_;
+  /// Missing entries are kept until then.
+  time_point keep_missing_until_;
+  std::map<std::string, known_server, std::less<>> known_;
+  std::map<std::string, std::vector<const server_entry*>, std::less<>> by_service_;
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace hawthornnotch::servers
+
+#endif  // HAWTHORNNOTCH_SERVERS_SERVER_LIST_H_
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -1,21 +1,28 @@
 #include "hawthornnotch/base/clock.h"
 
+#include <time.h>
+
 #include <chrono>
 
 namespace hawthornnotch {
 
 namespace {
 
-template <class Source>
-time_point read() {
-  const auto since_origin = Source::now().time_since_epoch();
-  return {std::chrono::duration_cast<std::chrono::milliseconds>(since_origin).count()};
-}
+constexpr std::int64_t ms_per_second = 1'000;
+constexpr std::int64_t ns_per_ms = 1'000'000;
 
 }  // namespace
 
-time_point system_clock::now() const { return read<std::chrono::steady_clock>(); }
+// Counts the time during which a VM is suspended: deadlines pass and knowledge ages meanwhile.
+time_point system_clock::now() const {
+  timespec since_boot{};
+  clock_gettime(CLOCK_BOOTTIME, &since_boot);
+  return {since_boot.tv_sec * ms_per_second + since_boot.tv_nsec / ns_per_ms};
+}
 
-time_point system_clock::wall() const { return read<std::chrono::system_clock>(); }
+time_point system_clock::wall() const {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return {std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count()};
+}
 
 }  // namespace hawthornnotch
--- /dev/null
+++ b/src/dispatch/dispatcher.cpp
@@ -0,0 +1,301 @@
+#include "hawthornnotch/dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "hawthornnotch/base/hash.h"
+
+namespace hawthornnotch::dispatch {
+
+namespace {
+
+/// Prompt tokens read in a millisecond, assumed until prompts have been timed.
+constexpr double assumed_tokens_per_ms = 40.0;
+/// A prompt must be this long, in tokens, for its time to tell the reading speed.
+constexpr std::uint32_t least_timed_tokens = 2'000;
+/// Weight of one timed prompt in the reading speed.
+constexpr double prefill_learning = 0.05;
+/// Events that tell a server's speed; below, it counts as usual.
+constexpr std::uint64_t least_gaps = 20;
+/// What reading a shared part again costs beside its own time, as a multiple of that time: it
+/// delays all requests that run there, and takes cache from other parts.
+constexpr double reread_weight = 2.0;
+/// Part of a shared prefix that has to be read where nothing is known: at the first, second and
+/// third server of the rendezvous order, which other entry VMs use too, and at all others.
+constexpr std::array<double, 4> unknown_part = {0.3, 0.8, 0.9, 1.0};
+/// Cost of a server whose slots are half taken, in ms; grows with the square of the part taken.
+constexpr double half_full_ms = 150.0;
+/// Cost of a server that fails all requests, in ms.
+constexpr double failing_engine_ms = 3'000.0;
+constexpr double failing_service_ms = 500.0;
+/// Cost of pauses between events as long as the caller's limit, in ms.
+constexpr double long_pause_ms = 1'500.0;
+/// Part of the caller's limit from which on pauses cost.
+constexpr double safe_pause_part = 0.6;
+/// Cost of an answer from another failure domain, in ms.
+constexpr double other_domain_ms = 3.0;
+/// Random part of a cost, in ms, so that entry VMs with equal knowledge spread.
+constexpr double spread_ms = 2.0;
+/// Time of an answer of a service that is no engine, assumed until one was timed, in ms.
+constexpr double assumed_answer_ms = 20.0;
+
+std::uint64_t affinity(std::uint64_t prefix, std::string_view server) {
+  return stable_hash(server, prefix);
+}
+
+struct ranked {
+  std::uint64_t affinity = 0;
+  std::uint32_t index = 0;
+};
+
+// The rank of each server in the rendezvous order of a prefix; ranks beyond the last entry of
+// `unknown_part` are equal.
+std::vector<std::uint32_t> ranks_for(std::uint64_t prefix,
+                                     const std::vector<const servers::server_entry*>& candidates) {
+  constexpr std::uint32_t last_rank = unknown_part.size() - 1;
+  std::vector<ranked> order;
+  order.reserve(candidates.size());
+  for (std::uint32_t index = 0; index < candidates.size(); ++index) {
+    order.push_back({affinity(prefix, candidates[index]->id), index});
+  }
+  const std::size_t sorted = std::min<std::size_t>(last_rank, order.size());
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(sorted), order.end(),
+                    [](const ranked& a, const ranked& b) { return a.affinity > b.affinity; });
+  std::vector<std::uint32_t> ranks(candidates.size(), last_rank);
+  for (std::uint32_t rank = 0; rank < sorted; ++rank) {
+    ranks[order[rank].index] = rank;
+  }
+  return ranks;
+}
+
+// The shared prefix is the one before the whole prompt.
+prompt_prefix shared_prefix(std::span<const prompt_prefix> prefixes) {
+  return prefixes.size() < 2 ? prompt_prefix{} : prefixes[prefixes.size() - 2];
+}
+
+}  // namespace
+
+dispatcher::dispatcher(const servers::server_list& list, std::string failure_domain,
+                       std::uint64_t seed)
+    : list_(list),
+      failure_domain_(std::move(failure_domain)),
+      random_(seed),
+      tokens_per_ms_(assumed_tokens_per_ms) {}
+
+server_state& dispatcher::state_of(const servers::server_entry& server) {
+  server_state& state = states_[server.id];
+  if (state.born_ms != server.born_ms) {
+    state = server_state{};
+    state.born_ms = server.born_ms;
+  }
+  return state;
+}
+
+server_state* dispatcher::state_of(const sending& what) {
+  const auto found = states_.find(what.server);
+  const bool same_start = found != states_.end() && found->second.born_ms == what.born_ms;
+  return same_start ? &found->second : nullptr;
+}
+
+double dispatcher::usual_gap_of_fleet() const {
+  std::vector<double> gaps;
+  gaps.reserve(states_.size());
+  for (const auto& [id, state] : states_) {
+    if (state.usual_gap.count() >= least_gaps) {
+      gaps.push_back(state.usual_gap.value());
+    }
+  }
+  if (gaps.empty()) {
+    return 0;
+  }
+  const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
+  std::nth_element(gaps.begin(), middle, gaps.end());
+  return *middle;
+}
+
+double dispatcher::token_ms(const server_state& state, double fleet_gap) const {
+  const bool known = state.usual_gap.count() >= least_gaps && fleet_gap > 0;
+  const double slowness = known ? std::max(state.usual_gap.value() / fleet_gap, 0.25) : 1.0;
+  return slowness / tokens_per_ms_;
+}
+
+result<placement, placement_failure> dispatcher::choose(const placement_query& query) {
+  const auto& candidates = list_.serving(query.service);
+  if (candidates.empty()) {
+    return failed{placement_failure::no_server};
+  }
+  const bool is_engine = !query.prefixes.empty();
+  const double fleet_gap = is_engine ? usual_gap_of_fleet() : 0;
+  std::vector<std::uint32_t> ranks(candidates.size(), 0);
+  if (is_engine) {
+    ranks = ranks_for(shared_prefix(query.prefixes).hash, candidates);
+  }
+  placement best;
+  bool found = false;
+  bool best_avoided = false;
+  for (std::uint32_t index = 0; index < candidates.size(); ++index) {
+    const servers::server_entry& server = *candidates[index];
+    if (std::find(query.tried.begin(), query.tried.end(), server.id) != query.tried.end()) {
+      continue;
+    }
+    const server_state& state = state_of(server);
+    placement next;
+    next.server = server;
+    next.running = state.all_running();
+    if (is_engine) {
+      weigh_engine(query, state, ranks[index], fleet_gap, next);
+    } else {
+      weigh_service(state, next);
+    }
+    next.cost_ms += random_.unit() * spread_ms;
+    const bool is_avoided = state.health.avoided(query.now);
+    const bool better = !found || (best_avoided && !is_avoided) ||
+                        (best_avoided == is_avoided && next.cost_ms < best.cost_ms);
+    if (better) {
+      best = std::move(next);
+      best_avoided = is_avoided;
+      found = true;
+    }
+  }
+  if (!found) {
+    return failed{placement_failure::none_left};
+  }
+  best.candidates = static_cast<std::uint32_t>(candidates.size());
+  return best;
+}
+
+void dispatcher::weigh_engine(const placement_query& query, const server_state& state,
+                              std::uint32_t rank, double fleet_gap, placement& out) const {
+  const std::uint32_t whole = query.prefixes.back().tokens;
+  const std::uint32_t shared = shared_prefix(query.prefixes).tokens;
+  const std::uint32_t held = state.cache.held_tokens(query.prefixes);
+  const double shared_unread = shared > held ? (shared - held) * unknown_part.at(rank) : 0.0;
+  const double own_unread = static_cast<double>(whole - std::max(shared, held));
+  const double per_token = token_ms(state, fleet_gap);
+  const double waiting = static_cast<double>(state.all_prefill_tokens()) * per_token;
+  const double taken = static_cast<double>(state.all_running()) / std::max(1U, out.server.slots);
+
+  out.uncached_tokens = static_cast<std::uint32_t>(shared_unread + own_unread);
+  out.expected_ms = waiting + out.uncached_tokens * per_token;
+  out.cost_ms = out.expected_ms + reread_weight * shared_unread * per_token;
+  out.cost_ms += 4.0 * taken * taken * half_full_ms;
+  out.cost_ms += state.health.failure_share() * failing_engine_ms;
+  if (query.target_gap.ms > 0 && state.long_gap.count() >= least_gaps) {
+    const double part = state.long_gap.value() / static_cast<double>(query.target_gap.ms);
+    out.cost_ms += std::max(0.0, part - safe_pause_part) / (1.0 - safe_pause_part) * long_pause_ms;
+  }
+  if (out.server.failure_domain != failure_domain_) {
+    out.cost_ms += other_domain_ms;
+  }
+}
+
+void dispatcher::weigh_service(const server_state& state, placement& out) const {
+  const double answer = state.answer_ms.value() > 0 ? state.answer_ms.value() : assumed_answer_ms;
+  const double taken = static_cast<double>(state.all_running()) / std::max(1U, out.server.slots);
+  out.expected_ms = answer * (1.0 + taken);
+  out.cost_ms = out.expected_ms + state.health.failure_share() * failing_service_ms;
+  if (out.server.failure_domain != failure_domain_) {
+    out.cost_ms += other_domain_ms;
+  }
+}
+
+sending dispatcher::sent(const placement& chosen, std::vector<prompt_prefix> prefixes,
+                         time_point now) {
+  server_state& state = state_of(chosen.server);
+  ++state.running;
+  state.prefill_tokens += chosen.uncached_tokens;
+  state.cache.used(prefixes);
+  sending out;
+  out.server = chosen.server.id;
+  out.born_ms = chosen.server.born_ms;
+  out.uncached_tokens = chosen.uncached_tokens;
+  out.prefixes = std::move(prefixes);
+  out.sent_at = now;
+  out.last_event_at = now;
+  return out;
+}
+
+void dispatcher::events(sending& what, std::uint32_t count, time_point now) {
+  server_state* state = state_of(what);
+  if (state == nullptr || count == 0) {
+    return;
+  }
+  if (!what.first_event_seen) {
+    what.first_event_seen = true;
+    learn_prefill(what, *state, now);
+    state->prefill_tokens -= std::min<std::uint64_t>(state->prefill_tokens, what.uncached_tokens);
+  } else {
+    const double gap = static_cast<double>((now - what.last_event_at).ms) / count;
+    state->usual_gap.add(gap);
+    state->long_gap.add(gap);
+  }
+  what.last_event_at = now;
+}
+
+// A prompt that had the server to itself tells how fast prompts are read.
+void dispatcher::learn_prefill(const sending& what, const server_state& state, time_point now) {
+  const bool alone = state.all_prefill_tokens() <= what.uncached_tokens;
+  if (!alone || what.uncached_tokens < least_timed_tokens) {
+    return;
+  }
+  const double passed = static_cast<double>((now - what.sent_at).ms);
+  if (passed <= 0) {
+    return;
+  }
+  const double speed = what.uncached_tokens / passed;
+  tokens_per_ms_ += prefill_learning * (speed - tokens_per_ms_);
+}
+
+void dispatcher::ended(const sending& what, send_end end, time_point now) {
+  server_state* state = state_of(what);
+  if (state == nullptr) {
+    return;
+  }
+  state->running -= std::min(state->running, 1U);
+  if (!what.first_event_seen) {
+    state->prefill_tokens -= std::min<std::uint64_t>(state->prefill_tokens, what.uncached_tokens);
+  }
+  state->health.record(end, now);
+  const bool whole_answer = end == send_end::completed || end == send_end::server_error;
+  if (what.prefixes.empty() && whole_answer) {
+    state->answer_ms.add(static_cast<double>((now - what.sent_at).ms), 1.0, now);
+  }
+}
+
+void dispatcher::apply_peer_work(
+    const std::map<std::string, relay::server_work, std::less<>>& work) {
+  for (auto& [id, state] : states_) {
+    const auto found = work.find(id);
+    state.peer_running = found == work.end() ? 0 : found->second.running;
+    state.peer_prefill_tokens = found == work.end() ? 0 : found->second.prefill_tokens;
+  }
+}
+
+void dispatcher::forget_gone() {
+  for (auto each = states_.begin(); each != states_.end();) {
+    const bool gone = list_.find(each->first) == nullptr && each->second.running == 0;
+    each = gone ? states_.erase(each) : std::next(each);
+  }
+}
+
+std::vector<relay::server_work> dispatcher::own_work() const {
+  std::vector<relay::server_work> out;
+  for (const auto& [id, state] : states_) {
+    if (state.running > 0) {
+      out.push_back({id, state.running, state.prefill_tokens});
+    }
+  }
+  return out;
+}
+
+std::vector<server_summary> dispatcher::summary() const {
+  std::vector<server_summary> out;
+  for (const auto& [id, state] : states_) {
+    out.push_back({id, state.all_running(), state.all_prefill_tokens(), state.usual_gap.value(),
+                   state.health.failure_share()});
+  }
+  return out;
+}
+
+}  // namespace hawthornnotch::dispatch
--- /dev/null
+++ b/src/dispatch/retry_budget.cpp
@@ -0,0 +1,42 @@
+#include "hawthornnotch/dispatch/retry_budget.h"
+
+#include <algorithm>
+
+namespace hawthornnotch::dispatch {
+
+namespace {
+
+void drop_before(std::deque<time_point>& times, time_point limit) {
+  while (!times.empty() && times.front() <= limit) {
+    times.pop_front();
+  }
+}
+
+}  // namespace
+
+retry_budget::counts& retry_budget::fresh_counts(std::string_view service, time_point now) {
+  const auto found = services_.find(service);
+  counts& out = found != services_.end() ? found->second : services_[std::string(service)];
+  drop_before(out.requests, now - settings_.window);
+  drop_before(out.repeats, now - settings_.window);
+  return out;
+}
+
+void retry_budget::on_request(std::string_view service, time_point now) {
+  fresh_counts(service, now).requests.push_back(now);
+}
+
+bool retry_budget::take(std::string_view service, std::size_t entry_vms, time_point now) {
+  counts& counted = fresh_counts(service, now);
+  const double own_slack =
+      settings_.slack / static_cast<double>(std::max<std::size_t>(entry_vms, 1));
+  const double earned = settings_.ratio * static_cast<double>(counted.requests.size());
+  const double allowed = settings_.used_part * (earned + own_slack);
+  if (static_cast<double>(counted.repeats.size() + 1) > allowed) {
+    return false;
+  }
+  counted.repeats.push_back(now);
+  return true;
+}
+
+}  // namespace hawthornnotch::dispatch
--- /dev/null
+++ b/src/gateway/event_splitter.cpp
@@ -0,0 +1,65 @@
+#include "event_splitter.h"
+
+#include <charconv>
+
+namespace hawthornnotch::gateway::internal {
+
+namespace {
+
+constexpr std::string_view id_field = "id:";
+constexpr std::string_view event_end = "\n\n";
+
+// \returns the number in an event's `id` field, if it has one.
+std::optional<std::uint64_t> id_of(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = std::min(event.find('\n'), event.size());
+    std::string_view line = event.substr(0, end);
+    if (line.substr(0, id_field.size()) == id_field) {
+      line.remove_prefix(id_field.size());
+      const std::size_t digit = std::min(line.find_first_not_of(' '), line.size());
+      std::uint64_t id = 0;
+      const auto [stop, error] =
+          std::from_chars(line.data() + digit, line.data() + line.size(), id);
+      return error == std::errc() ? std::optional(id) : std::nullopt;
+    }
+    event.remove_prefix(std::min(end + 1, event.size()));
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+event_batch event_splitter::take(std::string_view bytes) {
+  event_batch batch;
+  rest_ += bytes;
+  std::size_t begin = 0;
+  while (!batch.out_of_order) {
+    const std::size_t end = rest_.find(event_end, begin);
+    if (end == std::string::npos) {
+      break;
+    }
+    const std::size_t next = end + event_end.size();
+    take_event(std::string_view(rest_).substr(begin, next - begin), batch);
+    begin = next;
+  }
+  rest_.erase(0, begin);
+  return batch;
+}
+
+void event_splitter::take_event(std::string_view event, event_batch& batch) {
+  const auto id = id_of(event);
+  if (id) {
+    if (last_id_ && *id <= *last_id_) {
+      return;
+    }
+    if (last_id_ && *id != *last_id_ + 1) {
+      batch.out_of_order = true;
+      return;
+    }
+    last_id_ = id;
+  }
+  batch.text += event;
+  ++batch.count;
+}
+
+}  // namespace hawthornnotch::gateway::internal
--- /dev/null
+++ b/src/gateway/peer_link.cpp
@@ -0,0 +1,153 @@
+#include "peer_link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <tuple>
+#include <utility>
+
+#include "hawthornnotch/observe/log.h"
+
+namespace hawthornnotch::gateway::internal {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Pause between two exchanges.
+constexpr std::chrono::milliseconds exchange_period{150};
+constexpr duration connect_timeout{300};
+constexpr duration answer_timeout{600};
+constexpr duration unacknowledged_timeout{1'000};
+constexpr std::uint64_t most_message_bytes = 16 * 1024 * 1024;
+/// Peers told at once after a change; the others hear it from these.
+constexpr std::size_t most_told_at_once = 8;
+constexpr std::string_view exchange_path = "/exchange";
+
+}  // namespace
+
+peer_link::peer_link(state& shared, knowledge& known, asio::any_io_executor executor)
+    : shared_(shared), known_(known), executor_(executor), timer_(executor) {}
+
+void peer_link::tick() {
+  const auto next = shared_.peers.next_contact(shared_.time.now(), shared_.random);
+  if (next) {
+    exchange_with(*next);
+  }
+  timer_.expires_after(exchange_period);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+void peer_link::tell_all() {
+  std::size_t told = 0;
+  for (const endpoint& address : shared_.peers.live_addresses(shared_.time.now())) {
+    if (told++ < most_told_at_once) {
+      exchange_with(address);
+    }
+  }
+}
+
+void peer_link::exchange_with(const endpoint& to) {
+  asio::co_spawn(executor_, exchange(to), asio::detached);
+}
+
+asio::awaitable<void> peer_link::exchange(endpoint to) {
+  net::http_request request;
+  request.method = "POST";
+  request.target = exchange_path;
+  request.body = relay::encode(compose());
+  net::exchange_limits limits;
+  limits.connect_timeout = connect_timeout;
+  limits.head_timeout = answer_timeout;
+  limits.read_timeout = answer_timeout;
+  limits.unacknowledged_timeout = unacknowledged_timeout;
+  limits.body_bytes = most_message_bytes;
+  auto answer = co_await shared_.http->fetch(to, std::move(request), limits);
+  if (!answer) {
+    shared_.peers.contact_failed(to, shared_.time.now());
+    co_return;
+  }
+  const auto message = relay::decode(answer->body);
+  if (message) {
+    take(*message);
+  } else {
+    observe::log_event(observe::level::warning, "exchange_unreadable", {{"peer", to.address}});
+  }
+}
+
+asio::awaitable<void> peer_link::handle(net::http_request request, net::response_writer& writer) {
+  net::http_response response;
+  const auto message = relay::decode(request.body);
+  if (!message) {
+    response.status = 400;
+  } else {
+    take(*message);
+    relay::exchange_message answer = compose();
+    add_missing(answer, *message);
+    response.headers.emplace_back("Content-Type", "application/json");
+    response.body = relay::encode(answer);
+  }
+  std::ignore = co_await writer.send(std::move(response));
+}
+
+relay::exchange_message peer_link::compose() {
+  relay::exchange_message message;
+  const time_point now = shared_.time.now();
+  message.from = shared_.peers.beat();
+  message.config_version = shared_.config.version();
+  if (const auto& list = shared_.servers.newest()) {
+    message.list_revision = list->revision;
+    message.list_age = now - list->read_at;
+    message.list_digest = servers::digest_of(list->entries);
+  }
+  message.work = shared_.dispatcher.own_work();
+  message.peers = shared_.peers.some_peers(now);
+  return message;
+}
+
+void peer_link::add_missing(relay::exchange_message& message,
+                            const relay::exchange_message& theirs) const {
+  if (theirs.config_version < message.config_version) {
+    message.config = shared_.config_text;
+  }
+  const auto& list = shared_.servers.newest();
+  const bool newer = list && theirs.list_revision < message.list_revision;
+  if (newer && theirs.list_digest != message.list_digest) {
+    message.list = list->entries;
+  }
+}
+
+void peer_link::take(const relay::exchange_message& message) {
+  const time_point now = shared_.time.now();
+  shared_.peers.heard(message, now);
+  shared_.dispatcher.apply_peer_work(shared_.peers.work_of_peers(now));
+  if (message.config) {
+    known_.offer_config(*message.config, message.from.vm);
+  }
+  take_list(message);
+}
+
+void peer_link::take_list(const relay::exchange_message& message) {
+  const auto& own = shared_.servers.newest();
+  const bool newer = message.list_revision > (own ? own->revision : 0);
+  if (!newer) {
+    return;
+  }
+  servers::list_reading reading;
+  reading.revision = message.list_revision;
+  reading.read_at = shared_.time.now() - message.list_age;
+  if (message.list) {
+    reading.entries = *message.list;
+  } else if (own && servers::digest_of(own->entries) == message.list_digest) {
+    reading.entries = own->entries;
+  } else {
+    return;
+  }
+  known_.offer_list(std::move(reading), message.from.vm);
+}
+
+}  // namespace hawthornnotch::gateway::internal
--- /dev/null
+++ b/src/gateway/peer_link.h
@@ -0,0 +1,45 @@
+// Exchanges knowledge with the other entry VMs over HTTP.
+#ifndef HAWTHORNNOTCH_SRC_GATEWAY_PEER_LINK_H_
+#define HAWTHORNNOTCH_SRC_GATEWAY_PEER_LINK_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "hawthornnotch/net/http_server.h"
+#include "hawthornnotch/relay/exchange.h"
+#include "state.h"
+#include "store_follower.h"
+
+namespace hawthornnotch::gateway::internal {
+
+// One exchange after another, each with one peer; at once with all when something changed.
+// Exchanges are short and independent: a peer that does not answer holds up no other.
+class peer_link {
+ public:
+  peer_link(state& shared, knowledge& known, boost::asio::any_io_executor executor);
+  void start() { tick(); }
+  // Tells peers now instead of in turn.
+  void tell_all();
+  // Answers a peer's exchange.
+  boost::asio::awaitable<void> handle(net::http_request request, net::response_writer& writer);
+
+ private:
+  void tick();
+  void exchange_with(const endpoint& to);
+  boost::asio::awaitable<void> exchange(endpoint to);
+  void take(const relay::exchange_message& message);
+  void take_list(const relay::exchange_message& message);
+  [[nodiscard]] relay::exchange_message compose();
+  // Adds what the receiver of the message was seen to lack.
+  void add_missing(relay::exchange_message& message, const relay::exchange_message& theirs) const;
+
+  state& shared_;
+  knowledge& known_;
+  boost::asio::any_io_executor executor_;
+  boost::asio::steady_timer timer_;
+};
+
+}  // namespace hawthornnotch::gateway::internal
+
+#endif  // HAWTHORNNOTCH_SRC_GATEWAY_PEER_LINK_H_
--- /dev/null
+++ b/src/gateway/request_run.cpp
@@ -0,0 +1,448 @@
+#include "request_run.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <tuple>
+#include <utility>
+
+#include "hawthornnotch/base/hash.h"
+#include "hawthornnotch/observe/log.h"
+
+namespace hawthornnotch::gateway::internal {
+
+namespace asio = boost::asio;
+using observe::level;
+using observe::log_event;
+
+namespace {
+
+/// Longest time for a connection to a backend server to stand.
+constexpr duration connect_timeout{300};
+/// Bytes that a server does not acknowledge for this long end the connection.
+constexpr duration unacknowledged_timeout{1'500};
+/// Longest silence inside a stream before it goes on elsewhere, and the least that is waited for
+/// its first event.
+constexpr duration stream_silence{1'500};
+constexpr duration least_first_event{2'500};
+/// How often the expected time to the first event may pass before the server counts as silent.
+constexpr std::int64_t expected_factor = 4;
+/// An idempotent request is sent elsewhere when its target latency has passed this often.
+constexpr std::int64_t target_factor = 2;
+/// Less than this left is too little to send a request.
+constexpr duration least_send_time{20};
+/// Longest whole answer that is kept in memory, in bytes.
+constexpr std::uint64_t most_answer_bytes = 8 * 1024 * 1024;
+/// Time a caller is asked to wait where nothing better is known.
+constexpr duration usual_return{300};
+constexpr duration configuration_return{500};
+/// A caller is not asked to wait for more than this part of the time that it has left.
+constexpr std::int64_t return_part = 3;
+
+constexpr unsigned service_unavailable = 503;
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+constexpr unsigned first_server_error = 500;
+
+bool is_success(unsigned status) { return status >= first_success && status < first_redirect; }
+
+}  // namespace
+
+request_run::request_run(state& shared, net::response_writer& writer,
+                         asio::any_io_executor executor)
+    : shared_(shared),
+      writer_(writer),
+      timer_(std::move(executor)),
+      breaker_(std::make_shared<net::exchange_breaker>()),
+      alive_(std::make_shared<bool>(true)),
+      arrived_(shared.time.now()),
+      splitter_(std::nullopt) {}
+
+request_run::~request_run() {
+  *alive_ = false;
+  writer_.on_peer_gone(nullptr);
+}
+
+asio::awaitable<void> request_run::run(net::http_request received) {
+  request_ = shared_.wire.decode_request(std::move(received));
+  const std::optional<own_answer> refusal = resolve();
+  if (refusal) {
+    co_await refuse(*refusal);
+  } else {
+    prepare();
+    watch_caller();
+    watch_time();
+    shared_.retries.on_request(service_, arrived_);
+    co_await send_until_answered();
+  }
+  timer_.cancel();
+  log_end();
+}
+
+std::optional<own_answer> request_run::resolve() {
+  using refusal = std::optional<own_answer>;
+  table_ = shared_.config.current();
+  if (!table_) {
+    return own_answer::no_configuration;
+  }
+  const auto match = table_->find({request_.host, request_.path, request_.api_key});
+  return std::visit(
+      overloaded{
+          [&](const routes::matched& what) -> refusal {
+            route_ = what.found;
+            workspace_ = what.workspace;
+            return std::nullopt;
+          },
+          [](const routes::no_such_route&) -> refusal { return own_answer::no_route; },
+          [](const routes::unknown_api_key&) -> refusal { return own_answer::unknown_api_key; },
+      },
+      match);
+}
+
+void request_run::prepare() {
+  constexpr std::uint64_t draws = 10'000;
+  const std::uint64_t drawn = stable_hash(request_.id) % draws;
+  const double draw = static_cast<double>(drawn) / static_cast<double>(draws);
+  service_ = routes::route_table::pick_service(*route_, draw);
+  const routes::service_definition* service = table_->service(service_);
+  if (service != nullptr && service->engine) {
+    prefixes_ = dispatch::prefixes_of(request_.prompt);
+  }
+  const duration allowed =
+      request_.time_left ? std::min(*request_.time_left, route_->timeout) : route_->timeout;
+  end_at_ = arrived_ + allowed;
+  splitter_ = event_splitter(request_.last_event_id);
+}
+
+bool request_run::may_run_again() const {
+  const bool idempotent = route_->kind == routes::repeatability::idempotent;
+  const bool resumable = route_->kind == routes::repeatability::event_stream && route_->resumable;
+  return idempotent || resumable;
+}
+
+duration request_run::left() const { return end_at_ - shared_.time.now(); }
+
+void request_run::watch_caller() {
+  writer_.on_peer_gone([this, alive = alive_] {
+    if (*alive) {
+      caller_left_ = true;
+      break_off();
+    }
+  });
+}
+
+void request_run::watch_time() {
+  timer_.expires_after(std::chrono::milliseconds(std::max<std::int64_t>(left().ms, 0)));
+  timer_.async_wait([this, alive = alive_](const boost::system::error_code& error) {
+    if (!error && *alive) {
+      time_over_ = true;
+      break_off();
+    }
+  });
+}
+
+void request_run::break_off() { breaker_->cancel(); }
+
+asio::awaitable<void> request_run::send_until_answered() {
+  while (!over() && left() > least_send_time) {
+    dispatch::placement_query query;
+    query.service = service_;
+    query.prefixes = prefixes_;
+    query.target_gap = route_->target_gap;
+    query.tried = tried_;
+    query.now = shared_.time.now();
+    auto chosen = shared_.dispatcher.choose(query);
+    const bool is_repeat = !tried_.empty();
+    if (!chosen || (is_repeat && !repeat_allowed())) {
+      break;
+    }
+    const next_step next = co_await send_once(*chosen);
+    if (next == next_step::done) {
+      co_return;
+    }
+    if (next == next_step::must_end) {
+      break;
+    }
+  }
+  co_await answer_without_server();
+}
+
+bool request_run::repeat_allowed() {
+  const time_point now = shared_.time.now();
+  const bool allowed = shared_.retries.take(service_, shared_.peers.live_count(now), now);
+  if (!allowed) {
+    log_event(level::info, "retry_denied", {{"request_id", request_.id}, {"service", service_}});
+  }
+  return allowed;
+}
+
+net::exchange_limits request_run::limits_for(const dispatch::placement& to) const {
+  net::exchange_limits limits;
+  const duration rest = left();
+  limits.connect_timeout = std::min(connect_timeout, rest);
+  limits.unacknowledged_timeout = unacknowledged_timeout;
+  limits.head_timeout = rest;
+  limits.read_timeout = rest;
+  limits.body_bytes = most_answer_bytes;
+  const bool can_repeat = may_run_again() && runs_ + 1 < route_->max_attempts;
+  if (can_repeat && route_->kind == routes::repeatability::idempotent) {
+    limits.head_timeout = std::min(rest, route_->target_latency * target_factor);
+  }
+  if (can_repeat && route_->kind == routes::repeatability::event_stream) {
+    const duration expected{static_cast<std::int64_t>(to.expected_ms) * expected_factor};
+    limits.head_timeout = std::min(rest, std::max(least_first_event, expected));
+    limits.read_timeout = limits.head_timeout;
+  }
+  limits.breaker = breaker_;
+  limits.is_expected = [this](const net::http_response& head) {
+    const answer_facts facts = shared_.wire.decode_answer(head);
+    return facts.id == request_.id;
+  };
+  return limits;
+}
+
+asio::awaitable<request_run::next_step> request_run::send_once(const dispatch::placement& to) {
+  tried_.push_back(to.server.id);
+  expected_ms_ = to.expected_ms;
+  send_order order;
+  order.server_id = to.server.id;
+  order.time_left = left();
+  order.priority =
+      workspace_ != nullptr && workspace_->priority ? *workspace_->priority : route_->priority;
+  order.workspace = workspace_ != nullptr ? workspace_->name : "";
+  order.resume_after = splitter_.last_id();
+  net::http_request message = shared_.wire.encode_request(request_, order);
+  sending_ = shared_.dispatcher.sent(to, prefixes_, shared_.time.now());
+  net::exchange_limits limits = limits_for(to);
+  auto opened = co_await shared_.http->open(to.server.address, std::move(message), limits);
+  if (!opened) {
+    co_return after_failure(opened.last_reason());
+  }
+  const next_step next = co_await deliver(**opened);
+  co_return next;
+}
+
+request_run::next_step request_run::after_failure(const net::net_failure& why) {
+  const bool unsent = !why.request_may_have_left;
+  if (over()) {
+    finish_sending(dispatch::send_end::abandoned);
+    runs_ += unsent ? 0 : 1;
+    return next_step::must_end;
+  }
+  finish_sending(unsent ? dispatch::send_end::not_connected : dispatch::send_end::broken);
+  log_event(level::info, "send_failed",
+            {{"request_id", request_.id},
+             {"server", tried_.back()},
+             {"why", net::to_string(why.kind)},
+             {"sent", !unsent},
+             {"events", events_},
+             {"list_age_ms", shared_.servers.age(shared_.time.now()).value_or(duration{-1}).ms}});
+  if (unsent) {
+    return next_step::may_repeat;
+  }
+  ++runs_;
+  const bool repeat = may_run_again() && runs_ < route_->max_attempts;
+  return repeat ? next_step::may_repeat : next_step::must_end;
+}
+
+void request_run::finish_sending(dispatch::send_end end) {
+  if (sending_) {
+    shared_.dispatcher.ended(*sending_, end, shared_.time.now());
+    sending_.reset();
+  }
+}
+
+asio::awaitable<request_run::next_step> request_run::deliver(net::response_stream& answer) {
+  const answer_facts facts = shared_.wire.decode_answer(answer.head());
+  if (facts.not_run) {
+    finish_sending(dispatch::send_end::refused);
+    log_event(
+        level::info, "server_refused",
+        {{"request_id", request_.id}, {"server", tried_.back()}, {"status", answer.head().status}});
+    co_return next_step::may_repeat;
+  }
+  const bool trusted = facts.sealed && !facts.altered;
+  if (!trusted) {
+    co_return after_failure({net::net_failure_kind::malformed, true});
+  }
+  const bool is_stream = route_->kind == routes::repeatability::event_stream;
+  if (is_stream && is_success(answer.head().status)) {
+    const next_step next = co_await deliver_events(answer);
+    co_return next;
+  }
+  const next_step next = co_await deliver_whole(answer);
+  co_return next;
+}
+
+asio::awaitable<request_run::next_step> request_run::deliver_whole(net::response_stream& answer) {
+  net::http_response whole;
+  whole.status = answer.head().status;
+  whole.headers = shared_.wire.headers_for_caller(answer.head());
+  while (true) {
+    auto piece = co_await answer.read();
+    if (!piece) {
+      co_return after_failure(piece.last_reason());
+    }
+    if (piece->empty()) {
+      break;
+    }
+    whole.body += *piece;
+  }
+  const bool server_error = whole.status >= first_server_error;
+  const time_point now = shared_.time.now();
+  shared_.dispatcher.events(*sending_, 1, now);
+  finish_sending(server_error ? dispatch::send_end::server_error : dispatch::send_end::completed);
+  ++runs_;
+  const bool repeat = server_error && !head_sent_ && may_run_again() &&
+                      runs_ < route_->max_attempts && !over() && left() > least_send_time;
+  if (repeat && repeat_allowed()) {
+    kept_answer_ = std::move(whole);
+    co_return next_step::may_repeat;
+  }
+  if (head_sent_) {
+    co_return next_step::must_end;
+  }
+  first_event_after_ = now - arrived_;
+  status_ = whole.status;
+  outcome_ = server_error ? "server_error" : "delivered";
+  const auto sent = co_await writer_.send(std::move(whole));
+  if (!sent) {
+    outcome_ = "caller_left";
+  }
+  co_return next_step::done;
+}
+
+asio::awaitable<request_run::next_step> request_run::deliver_events(net::response_stream& answer) {
+  splitter_.restart();
+  while (true) {
+    auto piece = co_await answer.read();
+    if (!piece) {
+      co_return after_failure(piece.last_reason());
+    }
+    if (piece->empty()) {
+      break;
+    }
+    const event_batch batch = splitter_.take(*piece);
+    if (batch.out_of_order) {
+      answer.cancel();
+      co_return after_failure({net::net_failure_kind::malformed, true});
+    }
+    if (batch.count == 0) {
+      continue;
+    }
+    shared_.dispatcher.events(*sending_, batch.count, shared_.time.now());
+    const bool forwarded = co_await forward(answer.head(), batch);
+    if (!forwarded) {
+      answer.cancel();
+      caller_left_ = true;
+      finish_sending(dispatch::send_end::abandoned);
+      co_return next_step::must_end;
+    }
+  }
+  if (!splitter_.between_events()) {
+    co_return after_failure({net::net_failure_kind::malformed, true});
+  }
+  finish_sending(dispatch::send_end::completed);
+  outcome_ = "delivered";
+  const auto finished = co_await writer_.finish();
+  if (!finished) {
+    outcome_ = "caller_left";
+  }
+  co_return next_step::done;
+}
+
+asio::awaitable<bool> request_run::forward(const net::http_response& head,
+                                           const event_batch& batch) {
+  if (!head_sent_) {
+    head_sent_ = true;
+    status_ = head.status;
+    first_event_after_ = shared_.time.now() - arrived_;
+    net::header_list headers = shared_.wire.headers_for_caller(head);
+    const auto started = co_await writer_.start(head.status, std::move(headers));
+    if (!started) {
+      co_return false;
+    }
+  }
+  events_ += batch.count;
+  const auto written = co_await writer_.write(batch.text);
+  co_return written.has_value();
+}
+
+asio::awaitable<void> request_run::answer_without_server() {
+  if (caller_left_) {
+    outcome_ = "caller_left";
+    writer_.abort();
+    co_return;
+  }
+  if (head_sent_) {
+    outcome_ = time_over_ ? "cut_time_over" : "cut_server_failed";
+    writer_.abort();
+    co_return;
+  }
+  if (kept_answer_) {
+    status_ = kept_answer_->status;
+    outcome_ = "server_error";
+    const auto sent = co_await writer_.send(std::move(*kept_answer_));
+    outcome_ = sent ? outcome_ : "caller_left";
+    co_return;
+  }
+  const bool late = time_over_ || left() <= least_send_time;
+  if (runs_ > 0) {
+    co_await refuse(late ? own_answer::time_over : own_answer::server_failed);
+  } else if (late) {
+    co_await refuse(own_answer::time_over_unsent);
+  } else {
+    co_await refuse(tried_.empty() ? own_answer::no_server : own_answer::servers_refused);
+  }
+}
+
+asio::awaitable<void> request_run::refuse(own_answer why) {
+  outcome_ = to_string(why);
+  status_ = status_of(why);
+  net::http_response response = to_response(why, retry_after(why));
+  const auto sent = co_await writer_.send(std::move(response));
+  if (!sent) {
+    outcome_ = "caller_left";
+  }
+}
+
+// Spread over time, so that callers who were turned away together do not return together.
+std::optional<duration> request_run::retry_after(own_answer why) {
+  if (status_of(why) != service_unavailable) {
+    return std::nullopt;
+  }
+  const duration base = why == own_answer::no_configuration ? configuration_return : usual_return;
+  const auto spread =
+      static_cast<std::int64_t>(shared_.random.unit() * static_cast<double>(base.ms));
+  duration wait = base + duration{spread};
+  if (request_.time_left) {
+    wait = std::min(wait, *request_.time_left / return_part);
+  }
+  return wait;
+}
+
+void request_run::log_end() {
+  const duration total = shared_.time.now() - arrived_;
+  const std::string_view route = route_ != nullptr ? std::string_view(route_->name) : "";
+  shared_.metrics->count("hawthornnotch_requests_total",
+                         {{"outcome", outcome_}, {"service", service_}});
+  shared_.metrics->observe("hawthornnotch_request_ms", {{"service", service_}},
+                           static_cast<double>(total.ms));
+  log_event(level::info, "request",
+            {{"request_id", request_.id},
+             {"route", route},
+             {"workspace", workspace_ != nullptr ? std::string_view(workspace_->name) : ""},
+             {"service", service_},
+             {"server", tried_.empty() ? std::string_view() : std::string_view(tried_.back())},
+             {"outcome", outcome_},
+             {"status", status_},
+             {"sends", tried_.size()},
+             {"events", events_},
+             {"prompt_tokens", request_.prompt.prompt_tokens},
+             {"expected_ms", expected_ms_},
+             {"first_ms", first_event_after_.value_or(duration{-1}).ms},
+             {"total_ms", total.ms},
+             {"config_version", table_ ? table_->version() : 0}});
+}
+
+}  // namespace hawthornnotch::gateway::internal
--- /dev/null
+++ b/src/gateway/settings.cpp
@@ -0,0 +1,85 @@
+#include "hawthornnotch/gateway/settings.h"
+
+#include <utility>
+
+namespace hawthornnotch::gateway {
+
+namespace {
+
+constexpr double ms_per_second = 1'000.0;
+constexpr double longest_seconds = 3'600.0;
+constexpr double most_repeats = 1'000'000.0;
+constexpr integer_range any_descriptors{64, 1'000'000};
+
+duration read_seconds(json_reader& reader, std::string_view key, duration fallback) {
+  const double seconds =
+      reader.number(key, 0.1, longest_seconds, static_cast<double>(fallback.ms) / ms_per_second);
+  return {static_cast<std::int64_t>(seconds * ms_per_second)};
+}
+
+void read_retries(json_reader& parent, dispatch::retry_budget_settings& into) {
+  const boost::json::object* object = parent.object("retries");
+  if (object == nullptr) {
+    return;
+  }
+  json_reader reader(*object, parent.path_of("retries"));
+  into.ratio = reader.number("ratio", 0, 10, into.ratio);
+  into.slack = reader.number("slack", 0, most_repeats, into.slack);
+  into.window = read_seconds(reader, "window_s", into.window);
+  if (auto failure = reader.finish()) {
+    parent.fail(std::move(*failure));
+  }
+}
+
+void read_seeds(json_reader& reader, std::vector<endpoint>& into) {
+  for (const std::string& text : reader.texts("seeds")) {
+    const auto parsed = parse_endpoint(text);
+    if (!parsed) {
+      reader.fail({settings_fault::wrong_type, reader.path_of("seeds"), text, "ADDRESS:PORT"});
+      return;
+    }
+    into.push_back(*parsed);
+  }
+}
+
+void read_log(json_reader& parent, observe::log_settings& into) {
+  const boost::json::object* object = parent.object("log");
+  if (object == nullptr) {
+    return;
+  }
+  json_reader reader(*object, parent.path_of("log"));
+  into.threshold = static_cast<observe::level>(
+      reader.choice("level", {"debug", "info", "warning", "error"}, std::size_t{1}));
+  into.format = static_cast<observe::log_format>(
+      reader.choice("format", {"json", "key_value"}, std::size_t{0}));
+  if (auto failure = reader.finish()) {
+    parent.fail(std::move(*failure));
+  }
+}
+
+}  // namespace
+
+result<gateway_settings, settings_failure> parse_gateway_settings(
+    const boost::json::object& object) {
+  gateway_settings settings;
+  json_reader reader(object, "");
+  settings.vm = reader.text("vm");
+  settings.failure_domain = reader.text("failure_domain");
+  settings.callers = reader.address("callers");
+  settings.readiness = reader.address("readiness");
+  settings.peers = reader.address("peers");
+  settings.metrics = reader.address("metrics");
+  settings.store = reader.address("store");
+  read_seeds(reader, settings.seeds);
+  settings.descriptors = static_cast<std::uint32_t>(
+      reader.integer("descriptors", any_descriptors, std::int64_t{settings.descriptors}));
+  settings.stop_grace = read_seconds(reader, "stop_grace_s", settings.stop_grace);
+  read_retries(reader, settings.retries);
+  read_log(reader, settings.log);
+  if (auto failure = reader.finish()) {
+    return failed{std::move(*failure)};
+  }
+  return settings;
+}
+
+}  // namespace hawthornnotch::gateway
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "connection_pool.h"
 
+#include <algorithm>
+
 namespace hawthornnotch::net::internal {
 
 namespace {
@@ -33,11 +35,18 @@
   shard& home = shard_of(to);
   const std::lock_guard lock(home.mutex);
   const auto found = home.idle.find(to);
-  if (found == home.idle.end() || found->second.empty()) {
+  if (found == home.idle.end()) {
+    return std::nullopt;
+  }
+  idle_list& kept = found->second;
+  const time_point now = time_.now();
+  std::erase_if(kept, [&](const idle_socket& each) { return each.usable_until <= now; });
+  if (kept.empty()) {
+    home.idle.erase(found);
     return std::nullopt;
   }
-  tcp::socket idle = std::move(found->second.back());
-  found->second.pop_back();
+  tcp::socket idle = std::move(kept.back().socket);
+  kept.pop_back();
   return idle;
 }
 
@@ -51,12 +60,17 @@
   return std::nullopt;
 }
 
-void connection_pool::put(const endpoint& to, tcp::socket idle) {
+void connection_pool::put(const endpoint& to, tcp::socket idle, std::optional<duration> stated) {
+  const duration lifetime =
+      stated ? std::min(*stated - kept_.safety_margin, kept_.lifetime) : kept_.lifetime;
+  if (lifetime.ms <= 0) {
+    return;
+  }
   shard& home = shard_of(to);
   const std::lock_guard lock(home.mutex);
   idle_list& kept = home.idle[to];
-  if (kept.size() < idle_per_endpoint_) {
-    kept.push_back(std::move(idle));
+  if (kept.size() < kept_.per_endpoint) {
+    kept.push_back({std::move(idle), time_.now() + lifetime});
   }
 }
 
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -11,21 +11,27 @@
 #include "beast_support.h"
 #include "hawthornnotch/base/hash.h"
 #include "hawthornnotch/member/fleet.h"
+#include "hawthornnotch/net/http_client.h"
 
 namespace hawthornnotch::net::internal {
 
 // Thread safety: all members are thread safe.
 class connection_pool {
  public:
-  explicit connection_pool(std::size_t idle_per_endpoint) : idle_per_endpoint_(idle_per_endpoint) {}
+  explicit connection_pool(idle_connections kept) : kept_(kept) {}
 
   // \returns a socket that the peer has not closed, moved to `executor`; none if there is none.
   std::optional<tcp::socket> take(const endpoint& to, const asio::any_io_executor& executor);
   // \pre the socket's last answer was read whole.
-  void put(const endpoint& to, tcp::socket idle);
+  // \param stated how long the peer keeps the idle connection, where it says so.
+  void put(const endpoint& to, tcp::socket idle, std::optional<duration> stated);
 
  private:
-  using idle_list = std::vector<tcp::socket>;
+  struct idle_socket {
+    tcp::socket socket;
+    time_point usable_until;
+  };
+  using idle_list = std::vector<idle_socket>;
   struct shard {
     std::mutex mutex;
     std::map<endpoint, idle_list> idle;
@@ -37,7 +43,8 @@
   }
   std::optional<tcp::socket> take_any(const endpoint& to);
 
-  std::size_t idle_per_endpoint_;
+  idle_connections kept_;
+  system_clock time_;
   std::array<shard, shard_count> shards_;
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,10 @@
 #include "hawthornnotch/net/http_client.h"
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <charconv>
+
 #include "beast_support.h"
 #include "connection_pool.h"
 
@@ -10,6 +15,35 @@
 namespace {
 
 using response_parser = http::response_parser<http::buffer_body>;
+using request_message = http::request<http::string_body>;
+using unacknowledged_option = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+// Bodies that are skipped together with an answer that is not the expected one.
+constexpr std::size_t most_skipped_answers = 4;
+
+// \returns the seconds after `timeout=` in a Keep-Alive header.
+std::optional<duration> stated_idle_time(std::string_view header) {
+  constexpr std::string_view name = "timeout=";
+  constexpr std::int64_t ms_per_second = 1000;
+  const std::size_t at = header.find(name);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = header.substr(at + name.size());
+  std::int64_t seconds = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (error != std::errc()) {
+    return std::nullopt;
+  }
+  return duration{seconds * ms_per_second};
+}
+
+// A request on its way; outlives the exchange while the operating system may still read it.
+struct outgoing {
+  request_message message;
+  bool done = false;
+  bool whole = false;
+};
 
 http::request<http::string_body> to_message(const endpoint& to, http_request request) {
   http::request<http::string_body> message;
@@ -17,7 +51,11 @@
   message.target(request.target);
   message.set(http::field::host, to.address + ":" + std::to_string(to.port));
   for (const auto& [name, value] : request.headers) {
-    message.set(name, value);
+    if (beast::iequals(name, "Host")) {
+      message.set(http::field::host, value);
+    } else {
+      message.insert(name, value);
+    }
   }
   message.body() = std::move(request.body);
   message.keep_alive(true);
@@ -25,10 +63,6 @@
   return message;
 }
 
-failed<net_failure> fail(const error_code& error, bool request_may_have_left) {
-  return failed{net_failure{kind_of(error), request_may_have_left}};
-}
-
 }  // namespace
 
 // One request and its answer on one connection.
@@ -36,7 +70,6 @@
  public:
   exchange(std::shared_ptr<connection_pool> pool, endpoint to, exchange_limits limits)
       : pool_(std::move(pool)), to_(std::move(to)), limits_(std::move(limits)) {
-    parser_.body_limit(limits_.body_bytes);
     if (limits_.breaker) {
       limits_.breaker->attach([this] { cancel(); });
     }
@@ -73,35 +106,72 @@
       co_return failed{net_failure{net_failure_kind::connect, false}};
     }
     stream_->socket().set_option(tcp::no_delay(true), error);
+    if (limits_.unacknowledged_timeout.ms > 0) {
+      const int longest = static_cast<int>(limits_.unacknowledged_timeout.ms);
+      stream_->socket().set_option(unacknowledged_option(longest), error);
+    }
     co_return ok;
   }
 
-  asio::awaitable<status<net_failure>> send(http_request request) {
+  // Starts to send.  The answer is read meanwhile, since a server may answer a request before it
+  // has read a long body.
+  status<net_failure> send(http_request request) {
     if (is_broken_off() || (limits_.may_send && !limits_.may_send())) {
-      co_return failed{net_failure{net_failure_kind::cancelled, false}};
+      return failed{net_failure{net_failure_kind::cancelled, false}};
     }
-    const http::request<http::string_body> message = to_message(to_, std::move(request));
+    outgoing_ = std::make_shared<outgoing>();
+    outgoing_->message = to_message(to_, std::move(request));
     stream_->expires_after(to_chrono(limits_.head_timeout));
-    const auto [error, count] = co_await http::async_write(*stream_, message, as_result);
-    if (error) {
-      co_return fail(error, true);
-    }
-    co_return ok;
+    http::async_write(*stream_, outgoing_->message,
+                      [sent = outgoing_](const error_code& error, std::size_t /*count*/) {
+                        sent->done = true;
+                        sent->whole = !error;
+                      });
+    return ok;
   }
 
   asio::awaitable<status<net_failure>> read_head() {
+    for (std::size_t skipped = 0; skipped <= most_skipped_answers; ++skipped) {
+      const error_code error = co_await read_one_head();
+      if (error) {
+        co_return failed{
+            net_failure{cancelled_ ? net_failure_kind::cancelled : kind_of(error), true}};
+      }
+      if (!limits_.is_expected || limits_.is_expected(head_)) {
+        co_return ok;
+      }
+      const bool whole = co_await skip_body();
+      if (!whole || !parser_->keep_alive()) {
+        co_return failed{net_failure{net_failure_kind::closed, true}};
+      }
+    }
+    co_return failed{net_failure{net_failure_kind::malformed, true}};
+  }
+
+  asio::awaitable<error_code> read_one_head() {
+    parser_.emplace();
+    parser_->body_limit(limits_.body_bytes);
+    head_ = http_response{};
     stream_->expires_after(to_chrono(limits_.head_timeout));
     const auto [error, count] =
-        co_await http::async_read_header(*stream_, buffer_, parser_, as_result);
-    if (error) {
-      co_return failed{
-          net_failure{cancelled_ ? net_failure_kind::cancelled : kind_of(error), true}};
+        co_await http::async_read_header(*stream_, buffer_, *parser_, as_result);
+    if (!error) {
+      head_.status = parser_->get().result_int();
+      for (const auto& field : parser_->get()) {
+        head_.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+      }
     }
-    head_.status = parser_.get().result_int();
-    for (const auto& field : parser_.get()) {
-      head_.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    co_return error;
+  }
+
+  asio::awaitable<bool> skip_body() {
+    while (!parser_->is_done()) {
+      auto piece = co_await read();
+      if (!piece) {
+        co_return false;
+      }
     }
-    co_return ok;
+    co_return true;
   }
 
   [[nodiscard]] const http_response& head() const override { return head_; }
@@ -112,14 +182,14 @@
       co_return failed{net_failure{net_failure_kind::cancelled, true}};
     }
     std::string chunk;
-    while (chunk.empty() && !parser_.is_done()) {
+    while (chunk.empty() && !parser_->is_done()) {
       chunk.resize(chunk_bytes);
-      parser_.get().body().data = chunk.data();
-      parser_.get().body().size = chunk.size();
+      parser_->get().body().data = chunk.data();
+      parser_->get().body().size = chunk.size();
       stream_->expires_after(to_chrono(limits_.read_timeout));
       const auto [error, count] =
-          co_await http::async_read_some(*stream_, buffer_, parser_, as_result);
-      chunk.resize(chunk_bytes - parser_.get().body().size);
+          co_await http::async_read_some(*stream_, buffer_, *parser_, as_result);
+      chunk.resize(chunk_bytes - parser_->get().body().size);
       if (error && error != http::error::need_buffer) {
         co_return failed{
             net_failure{cancelled_ ? net_failure_kind::cancelled : kind_of(error), true}};
@@ -142,14 +212,16 @@
     return cancelled_ || (limits_.breaker && limits_.breaker->cancelled());
   }
 
-  // Keeps the connection only when the whole answer was read.
+  // Keeps the connection only when the whole request was sent and the whole answer was read.
   void give_back() {
-    const bool whole = stream_ && parser_.is_done() && buffer_.size() == 0;
-    if (!whole || cancelled_ || !parser_.keep_alive()) {
+    const bool sent = outgoing_ && outgoing_->whole;
+    const bool whole = stream_ && parser_ && parser_->is_done() && buffer_.size() == 0;
+    if (!sent || !whole || cancelled_ || !parser_->keep_alive()) {
       return;
     }
     stream_->expires_never();
-    pool_->put(to_, stream_->release_socket());
+    pool_->put(to_, stream_->release_socket(),
+               stated_idle_time(parser_->get()[http::field::keep_alive]));
   }
 
   std::shared_ptr<connection_pool> pool_;
@@ -157,15 +229,15 @@
   exchange_limits limits_;
   std::unique_ptr<beast::tcp_stream> stream_;
   beast::flat_buffer buffer_;
-  response_parser parser_;
+  std::optional<response_parser> parser_;
+  std::shared_ptr<outgoing> outgoing_;
   http_response head_;
   bool cancelled_ = false;
 };
 
 class pooling_client final : public http_client {
  public:
-  explicit pooling_client(std::size_t idle_per_endpoint)
-      : pool_(std::make_shared<connection_pool>(idle_per_endpoint)) {}
+  explicit pooling_client(idle_connections kept) : pool_(std::make_shared<connection_pool>(kept)) {}
 
   asio::awaitable<result<std::unique_ptr<response_stream>, net_failure>> open(
       endpoint to, http_request request, exchange_limits limits) override {
@@ -173,7 +245,7 @@
     if (auto connected = co_await opened->connect(); !connected) {
       co_return failed{connected.last_reason()};
     }
-    if (auto sent = co_await opened->send(std::move(request)); !sent) {
+    if (auto sent = opened->send(std::move(request)); !sent) {
       co_return failed{sent.last_reason()};
     }
     if (auto head = co_await opened->read_head(); !head) {
@@ -208,8 +280,14 @@
 
 }  // namespace internal
 
+std::unique_ptr<http_client> http_client::create(idle_connections kept) {
+  return std::make_unique<internal::pooling_client>(kept);
+}
+
 std::unique_ptr<http_client> http_client::create(std::size_t idle_per_endpoint) {
-  return std::make_unique<internal::pooling_client>(idle_per_endpoint);
+  idle_connections kept;
+  kept.per_endpoint = idle_per_endpoint;
+  return create(kept);
 }
 
 }  // namespace hawthornnotch::net
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -17,6 +17,31 @@
 
 using request_parser = http::request_parser<http::string_body>;
 
+constexpr std::string_view go_on_line = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::size_t read_bytes = 4096;
+constexpr std::string_view end_of_head = "\r\n\r\n";
+
+// Whether a header line goes on in the next line, which HTTP/1.1 no longer allows: another reader
+// of the message may see other headers.
+bool has_folded_line(std::string_view head) {
+  return head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos;
+}
+
+// Whether two readers of this head could disagree on where its body ends or whom it addresses.
+bool is_ambiguous(const http::request_header<>& head) {
+  const auto encoding = head.find(http::field::transfer_encoding);
+  if (encoding != head.end()) {
+    const bool only_chunked = head.count(http::field::transfer_encoding) == 1 &&
+                              beast::iequals(encoding->value(), "chunked");
+    if (!only_chunked || head.count(http::field::content_length) > 0) {
+      return true;
+    }
+  }
+  constexpr unsigned http_1_1 = 11;
+  const std::size_t hosts = head.count(http::field::host);
+  return hosts > 1 || (hosts == 0 && head.version() >= http_1_1);
+}
+
 void copy_headers(const header_list& from, http::fields& into) {
   for (const auto& [name, value] : from) {
     into.insert(name, value);
@@ -118,7 +143,7 @@
     message.body() = std::move(response.body);
     message.prepare_payload();
     answered_ = true;
-    stream_.expires_after(to_chrono(shared_->limits.write_timeout));
+    stream_.expires_after(to_chrono(limits().write_timeout));
     const auto [error, count] = co_await http::async_write(stream_, message, as_result);
     co_return outcome(error);
   }
@@ -132,7 +157,7 @@
     message.chunked(true);
     answered_ = true;
     http::response_serializer<http::empty_body> serializer(message);
-    stream_.expires_after(to_chrono(shared_->limits.write_timeout));
+    stream_.expires_after(to_chrono(limits().write_timeout));
     const auto [error, count] = co_await http::async_write_header(stream_, serializer, as_result);
     co_return outcome(error);
   }
@@ -141,14 +166,14 @@
     if (bytes.empty()) {
       co_return ok;
     }
-    stream_.expires_after(to_chrono(shared_->limits.write_timeout));
+    stream_.expires_after(to_chrono(limits().write_timeout));
     const auto [error, count] = co_await asio::async_write(
         stream_, http::make_chunk(asio::buffer(bytes.data(), bytes.size())), as_result);
     co_return outcome(error);
   }
 
   asio::awaitable<status<net_failure>> finish() override {
-    stream_.expires_after(to_chrono(shared_->limits.write_timeout));
+    stream_.expires_after(to_chrono(limits().write_timeout));
     const auto [error, count] =
         co_await asio::async_write(stream_, http::make_chunk_last(), as_result);
     co_return outcome(error);
@@ -166,6 +191,7 @@
   }
 
  private:
+  [[nodiscard]] server_limits limits() const { return *shared_->limits.read(); }
   [[nodiscard]] bool keep_alive() const { return peer_keeps_alive_ && !shared_->closing; }
 
   status<net_failure> outcome(const error_code& error) {
@@ -195,8 +221,8 @@
 
   asio::awaitable<std::optional<http_request>> read_request() {
     request_parser parser;
-    parser.header_limit(shared_->limits.header_bytes);
-    parser.body_limit(shared_->limits.body_bytes);
+    parser.header_limit(limits().header_bytes);
+    parser.body_limit(limits().body_bytes);
     const bool fresh = buffer_.size() == 0;
     if (fresh) {
       const bool has_begun = co_await wait_for_first_byte();
@@ -204,8 +230,10 @@
         co_return std::nullopt;
       }
     }
-    stream_.expires_after(to_chrono(shared_->limits.read_timeout));
-    const auto [error, count] = co_await http::async_read(stream_, buffer_, parser, as_result);
+    error_code error = co_await read_head(parser);
+    if (!error) {
+      error = co_await read_body(parser);
+    }
     if (error) {
       co_await refuse(error);
       co_return std::nullopt;
@@ -215,11 +243,64 @@
     co_return to_request(parser.release());
   }
 
+  // Reads up to the end of the head, checks it as it came and hands it to the parser.
+  asio::awaitable<error_code> read_head(request_parser& parser) {
+    stream_.expires_after(to_chrono(limits().head_timeout));
+    std::size_t end = find_end_of_head(0);
+    while (end == std::string_view::npos) {
+      const std::size_t seen = buffer_.size();
+      if (seen > limits().header_bytes) {
+        co_return http::error::header_limit;
+      }
+      const auto [error, count] =
+          co_await stream_.async_read_some(buffer_.prepare(read_bytes), as_result);
+      if (error) {
+        co_return error == asio::error::eof ? error_code(http::error::partial_message) : error;
+      }
+      buffer_.commit(count);
+      end = find_end_of_head(seen);
+    }
+    const std::string_view head(static_cast<const char*>(buffer_.data().data()), end);
+    if (has_folded_line(head)) {
+      co_return http::error::bad_field;
+    }
+    error_code error;
+    const std::size_t used = parser.put(asio::buffer(buffer_.data(), end), error);
+    if (!error && is_ambiguous(parser.get())) {
+      error = http::error::bad_transfer_encoding;
+    }
+    buffer_.consume(used);
+    co_return error;
+  }
+
+  // \param seen bytes of the buffer that were searched before.
+  [[nodiscard]] std::size_t find_end_of_head(std::size_t seen) const {
+    const std::string_view text(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+    const std::size_t from = seen < end_of_head.size() ? 0 : seen - end_of_head.size() + 1;
+    const std::size_t found = text.find(end_of_head, from);
+    return found == std::string_view::npos ? found : found + end_of_head.size();
+  }
+
+  asio::awaitable<error_code> read_body(request_parser& parser) {
+    if (parser.is_done()) {
+      co_return error_code();
+    }
+    stream_.expires_after(to_chrono(limits().read_timeout));
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+      const auto [error, count] =
+          co_await asio::async_write(stream_, asio::buffer(go_on_line), as_result);
+      if (error) {
+        co_return error;
+      }
+    }
+    const auto [error, count] = co_await http::async_read(stream_, buffer_, parser, as_result);
+    co_return error;
+  }
+
   asio::awaitable<bool> wait_for_first_byte() {
-    stream_.expires_after(to_chrono(shared_->limits.idle_timeout));
-    constexpr std::size_t first_read_bytes = 4096;
+    stream_.expires_after(to_chrono(limits().idle_timeout));
     const auto [error, count] =
-        co_await stream_.async_read_some(buffer_.prepare(first_read_bytes), as_result);
+        co_await stream_.async_read_some(buffer_.prepare(read_bytes), as_result);
     buffer_.commit(count);
     co_return !error;
   }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -6,13 +6,15 @@
 #include <memory>
 
 #include "beast_support.h"
+#include "hawthornnotch/base/blackboard.h"
 #include "hawthornnotch/net/http_server.h"
 
 namespace hawthornnotch::net::internal {
 
 // What all connections of one server share.
 struct server_state {
-  server_limits limits;
+  // Each change is a new value; one that was read stays valid until the process ends.
+  entry<server_limits> limits;
   request_handler handler;
   std::atomic<bool> closing{false};
   std::atomic<std::size_t> connections{0};
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -21,7 +21,7 @@
       : executor_(std::move(executor)),
         acceptor_(asio::make_strand(executor_)),
         shared_(std::make_shared<server_state>()) {
-    shared_->limits = limits;
+    shared_->limits.post(std::make_shared<const server_limits>(limits));
     shared_->handler = std::move(handler);
   }
 
@@ -81,7 +81,7 @@
   }
 
   void admit(tcp::socket socket) {
-    if (shared_->connections.load() >= shared_->limits.connections) {
+    if (shared_->connections.load() >= shared_->limits.read()->connections) {
       error_code ignored;
       socket.close(ignored);
       return;
@@ -106,6 +106,9 @@
   [[nodiscard]] std::uint16_t port() const override { return inner_->port(); }
   void close_after_answer() override { inner_->shared().closing = true; }
   void stop_accepting() override { inner_->stop(); }
+  void update_limits(server_limits limits) override {
+    inner_->shared().limits.post(std::make_shared<const server_limits>(limits));
+  }
   [[nodiscard]] std::size_t open_connections() const override {
     return inner_->shared().connections.load();
   }
--- /dev/null
+++ b/src/relay/exchange.cpp
@@ -0,0 +1,169 @@
+#include "hawthornnotch/relay/exchange.h"
+
+#include <boost/json.hpp>
+#include <charconv>
+#include <limits>
+
+#include "hawthornnotch/config/json_reader.h"
+
+namespace hawthornnotch::relay {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max();
+constexpr integer_range any_count{0, most};
+constexpr integer_range any_number{std::numeric_limits<std::int64_t>::min(), most};
+
+std::string to_text(const endpoint& address) {
+  return address.address + ":" + std::to_string(address.port);
+}
+
+json::object to_json(const peer& each) {
+  return {{"vm", each.vm},
+          {"domain", each.failure_domain},
+          {"address", to_text(each.address)},
+          {"incarnation", each.incarnation},
+          {"heartbeat", each.heartbeat},
+          {"leaving", each.leaving}};
+}
+
+json::object to_json(const server_work& work) {
+  return {{"server", work.server}, {"running", work.running}, {"prefill", work.prefill_tokens}};
+}
+
+json::object to_json(const servers::server_entry& entry) {
+  return {{"id", entry.id},
+          {"born", entry.born_ms},
+          {"service", entry.service},
+          {"address", to_text(entry.address)},
+          {"domain", entry.failure_domain},
+          {"slots", entry.slots},
+          {"leaving", entry.leaving}};
+}
+
+template <class Range>
+json::array to_array(const Range& range) {
+  json::array out;
+  out.reserve(range.size());
+  for (const auto& each : range) {
+    out.push_back(to_json(each));
+  }
+  return out;
+}
+
+// Reads one object; a failure leaves `good` false.
+class object_reader {
+ public:
+  object_reader(const json::object& object, bool& good) : reader_(object, ""), good_(good) {}
+  ~object_reader() { good_ = good_ && !reader_.finish(); }
+  object_reader(const object_reader&) = delete;
+  object_reader& operator=(const object_reader&) = delete;
+  json_reader* operator->() { return &reader_; }
+
+ private:
+  json_reader reader_;
+  bool& good_;
+};
+
+// 64-bit hashes travel as text, since JSON numbers may lose bits.
+bool read_number(const std::string& text, std::uint64_t& into) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), into);
+  return error == std::errc() && end == text.data() + text.size();
+}
+
+peer read_peer(const json::object& object, bool& good) {
+  object_reader reader(object, good);
+  peer out;
+  out.vm = reader->text("vm");
+  out.failure_domain = reader->text("domain");
+  out.address = reader->address("address");
+  out.incarnation = reader->text("incarnation");
+  out.heartbeat = static_cast<std::uint64_t>(reader->integer("heartbeat", any_count));
+  out.leaving = reader->boolean("leaving");
+  return out;
+}
+
+server_work read_work(const json::object& object, bool& good) {
+  object_reader reader(object, good);
+  server_work out;
+  out.server = reader->text("server");
+  out.running = static_cast<std::uint32_t>(
+      reader->integer("running", {0, std::numeric_limits<std::uint32_t>::max()}));
+  out.prefill_tokens = static_cast<std::uint64_t>(reader->integer("prefill", any_count));
+  return out;
+}
+
+servers::server_entry read_entry(const json::object& object, bool& good) {
+  object_reader reader(object, good);
+  servers::server_entry out;
+  out.id = reader->text("id");
+  out.born_ms = reader->integer("born", any_number);
+  out.service = reader->text("service");
+  out.address = reader->address("address");
+  out.failure_domain = reader->text("domain");
+  out.slots = static_cast<std::uint32_t>(
+      reader->integer("slots", {0, std::numeric_limits<std::uint32_t>::max()}));
+  out.leaving = reader->boolean("leaving");
+  return out;
+}
+
+}  // namespace
+
+std::string encode(const exchange_message& message) {
+  json::object out{{"from", to_json(message.from)},
+                   {"config_version", message.config_version},
+                   {"list_revision", message.list_revision},
+                   {"list_age_ms", message.list_age.ms},
+                   {"list_digest", std::to_string(message.list_digest)},
+                   {"work", to_array(message.work)},
+                   {"peers", to_array(message.peers)}};
+  if (message.config) {
+    out["config"] = *message.config;
+  }
+  if (message.list) {
+    out["list"] = to_array(*message.list);
+  }
+  return json::serialize(out);
+}
+
+result<exchange_message, codec_failure> decode(std::string_view text) {
+  const auto object = parse_object(text);
+  if (!object) {
+    return failed{codec_failure::malformed};
+  }
+  bool good = true;
+  exchange_message out;
+  {
+    object_reader reader(*object, good);
+    if (const json::object* from = reader->object("from", true)) {
+      out.from = read_peer(*from, good);
+    }
+    out.config_version = reader->integer("config_version", any_count);
+    out.list_revision = reader->integer("list_revision", any_count);
+    out.list_age = {reader->integer("list_age_ms", any_count)};
+    for (const json::object* work : reader->objects("work", true)) {
+      out.work.push_back(read_work(*work, good));
+    }
+    for (const json::object* each : reader->objects("peers", true)) {
+      out.peers.push_back(read_peer(*each, good));
+    }
+    if (reader->has("config")) {
+      out.config = reader->text("config");
+    }
+    good = good && read_number(reader->text("list_digest"), out.list_digest);
+    if (reader->has("list")) {
+      out.list.emplace();
+      for (const json::object* entry : reader->objects("list")) {
+        out.list->push_back(read_entry(*entry, good));
+      }
+    }
+  }
+  if (!good) {
+    return failed{codec_failure::malformed};
+  }
+  return out;
+}
+
+}  // namespace hawthornnotch::relay
--- /dev/null
+++ b/src/relay/peer_set.cpp
@@ -0,0 +1,163 @@
+#include "hawthornnotch/relay/peer_set.h"
+
+#include <algorithm>
+
+#include "hawthornnotch/base/hash.h"
+
+namespace hawthornnotch::relay {
+
+namespace {
+
+/// Every so many contacts one goes to a seed that is not known as a peer.
+constexpr std::uint64_t seed_turn = 8;
+/// A peer that did not answer is passed over for this long.
+constexpr duration avoid_time{1'000};
+
+}  // namespace
+
+peer_set::peer_set(peer self, std::vector<endpoint> seeds, peer_set_settings settings)
+    : self_(std::move(self)), seeds_(std::move(seeds)), settings_(settings) {}
+
+peer_set::known_peer* peer_set::learn(const peer& about, bool first_hand, time_point now) {
+  if (about.vm == self_.vm) {
+    return nullptr;
+  }
+  const auto [found, is_new] = peers_.try_emplace(about.vm);
+  known_peer& known = found->second;
+  const bool restarted = known.about.incarnation != about.incarnation;
+  // Hearsay of an earlier start may outlive a restart: only the process itself proves a new one.
+  const bool newer = is_new || about.heartbeat > known.about.heartbeat || (first_hand && restarted);
+  if (newer) {
+    if (restarted) {
+      known.work.clear();
+    }
+    known.about = about;
+    known.risen = now;
+  }
+  return &known;
+}
+
+void peer_set::heard(const exchange_message& message, time_point now) {
+  for (const peer& each : message.peers) {
+    learn(each, false, now);
+  }
+  known_peer* from = learn(message.from, true, now);
+  if (from != nullptr) {
+    from->work = message.work;
+    from->work_at = now;
+    from->avoid_until = now;
+  }
+  forget_old(now);
+}
+
+void peer_set::contact_failed(const endpoint& address, time_point now) {
+  for (auto& [vm, known] : peers_) {
+    if (known.about.address == address) {
+      known.avoid_until = now + avoid_time;
+    }
+  }
+}
+
+void peer_set::forget_old(time_point now) {
+  for (auto each = peers_.begin(); each != peers_.end();) {
+    const bool old = now - each->second.risen > settings_.retention;
+    each = old ? peers_.erase(each) : std::next(each);
+  }
+}
+
+bool peer_set::alive(const known_peer& known, time_point now) const {
+  return !known.about.leaving && now - known.risen <= settings_.lifetime;
+}
+
+bool peer_set::known_address(const endpoint& address) const {
+  if (address == self_.address) {
+    return true;
+  }
+  return std::any_of(peers_.begin(), peers_.end(),
+                     [&](const auto& each) { return each.second.about.address == address; });
+}
+
+std::optional<endpoint> peer_set::next_contact(time_point now, random_source& random) {
+  ++contacts_;
+  std::vector<endpoint> strangers;
+  for (const endpoint& seed : seeds_) {
+    if (!known_address(seed)) {
+      strangers.push_back(seed);
+    }
+  }
+  std::vector<const known_peer*> usable;
+  for (const auto& [vm, known] : peers_) {
+    if (!known.about.leaving && now >= known.avoid_until) {
+      usable.push_back(&known);
+    }
+  }
+  const bool try_stranger = usable.empty() || contacts_ % seed_turn == 0;
+  if (try_stranger && !strangers.empty()) {
+    return strangers[random.below(strangers.size())];
+  }
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  const auto next = std::find_if(usable.begin(), usable.end(), [&](const known_peer* candidate) {
+    return candidate->about.vm > last_contact_;
+  });
+  const known_peer& chosen = next == usable.end() ? *usable.front() : **next;
+  last_contact_ = chosen.about.vm;
+  return chosen.about.address;
+}
+
+std::vector<endpoint> peer_set::live_addresses(time_point now) const {
+  std::vector<endpoint> out;
+  for (const auto& [vm, known] : peers_) {
+    if (alive(known, now)) {
+      out.push_back(known.about.address);
+    }
+  }
+  return out;
+}
+
+std::size_t peer_set::live_count(time_point now) const { return live_addresses(now).size() + 1; }
+
+std::size_t peer_set::reading_rank(time_point now) const {
+  const std::uint64_t own = stable_hash(self_.vm);
+  std::size_t rank = 0;
+  for (const auto& [vm, known] : peers_) {
+    if (alive(known, now) && stable_hash(vm) < own) {
+      ++rank;
+    }
+  }
+  return rank;
+}
+
+std::map<std::string, server_work, std::less<>> peer_set::work_of_peers(time_point now) const {
+  std::map<std::string, server_work, std::less<>> sum;
+  for (const auto& [vm, known] : peers_) {
+    if (now - known.work_at > settings_.work_lifetime) {
+      continue;
+    }
+    for (const server_work& work : known.work) {
+      server_work& into = sum[work.server];
+      into.server = work.server;
+      into.running += work.running;
+      into.prefill_tokens += work.prefill_tokens;
+    }
+  }
+  return sum;
+}
+
+const peer& peer_set::beat() {
+  ++self_.heartbeat;
+  return self_;
+}
+
+std::vector<peer> peer_set::some_peers(time_point now) const {
+  std::vector<peer> out;
+  for (const auto& [vm, known] : peers_) {
+    if (out.size() < settings_.peers_in_message && now - known.risen <= settings_.lifetime) {
+      out.push_back(known.about);
+    }
+  }
+  return out;
+}
+
+}  // namespace hawthornnotch::relay
