--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -25,6 +25,8 @@
   std::string_view service;
   /// Empty for a service that is no model engine.
   std::span<const prompt_prefix> prefixes;
+  /// Time to the answer, or to its first event, that the caller expects.
+  duration target_latency;
   /// Longest pause between events that the caller expects; 0 for none.
   duration target_gap;
   /// Servers that this request was sent to before.
@@ -39,8 +41,10 @@
   std::uint32_t uncached_tokens = 0;
   /// Estimated time to the first event, in ms.
   double expected_ms = 0;
-  /// What the choice minimized, in ms.
-  double cost_ms = 0;
+  /// Part of the request's value that is expected to be lost: what the choice minimizes.
+  double loss = 0;
+  /// Place of the server in the rendezvous order of the shared prefix, 0 the first.
+  std::uint32_t rank = 0;
   /// Requests known to run there.
   std::uint32_t running = 0;
   /// Servers compared.
@@ -74,13 +78,13 @@
   double failure_share = 0;
 };
 
-/// Chooses by expected time, over all servers of the service.
+/// Chooses the server at which the least of a request's value is expected to be lost, by a late or
+/// failed answer or by prompt parts that are read again.
 ///
 /// A prompt goes where its shared parts are: to the server that a rendezvous hash names, which all
-/// entry VMs compute alike without talking, unless the work waiting there costs more time than
-/// reading the parts again elsewhere.  The load patterns it answers: long shared prompts, a part
-/// that many ask for at once, servers of unlike and changing speed, servers that fail some of
-/// their requests.
+/// entry VMs compute alike without talking, unless the answer would probably be late there.  The
+/// load patterns it answers: long shared prompts, a part that many ask for at once, servers of
+/// unlike and changing speed, servers that fail some of their requests.
 ///
 /// Example:
 ///     auto chosen = dispatcher.choose(query);
@@ -115,7 +119,7 @@
   [[nodiscard]] double token_ms(const server_state& state, double fleet_gap) const;
   void weigh_engine(const placement_query& query, const server_state& state, std::uint32_t rank,
                     double fleet_gap, placement& out) const;
-  void weigh_service(const server_state& state, placement& out) const;
+  void weigh_service(const placement_query& query, const server_state& state, placement& out) const;
   void learn_prefill(const sending& what, const server_state& state, time_point now);
 
   const servers::server_list& list_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -18,25 +18,27 @@
 constexpr double prefill_learning = 0.05;
 /// Events that tell a server's speed; below, it counts as usual.
 constexpr std::uint64_t least_gaps = 20;
-/// What reading a shared part again costs beside its own time, as a multiple of that time: it
-/// delays all requests that run there, and takes cache from other parts.
-constexpr double reread_weight = 2.0;
+/// Part of a request's value that is lost when its answer is late.
+constexpr double late_loss = 0.75;
+/// Part of a request's value that reading 1,000 shared tokens again costs: it takes an engine's
+/// time from all requests that run there.
+constexpr double reread_loss = 0.05;
+/// Estimated part of the caller's limit at which half of the answers are late, and how much more or
+/// less makes it nearly sure: estimates miss what other entry VMs have just sent.
+constexpr double half_late_part = 0.75;
+constexpr double late_spread = 0.1;
 /// Part of a shared prefix that has to be read where nothing is known: at the first, second and
 /// third server of the rendezvous order, which other entry VMs use too, and at all others.
 constexpr std::array<double, 4> unknown_part = {0.3, 0.8, 0.9, 1.0};
-/// Cost of a server whose slots are half taken, in ms; grows with the square of the part taken.
-constexpr double half_full_ms = 150.0;
-/// Cost of a server that fails all requests, in ms.
-constexpr double failing_engine_ms = 3'000.0;
-constexpr double failing_service_ms = 500.0;
-/// Cost of pauses between events as long as the caller's limit, in ms.
-constexpr double long_pause_ms = 1'500.0;
-/// Part of the caller's limit from which on pauses cost.
-constexpr double safe_pause_part = 0.6;
-/// Cost of an answer from another failure domain, in ms.
-constexpr double other_domain_ms = 3.0;
-/// Random part of a cost, in ms, so that entry VMs with equal knowledge spread.
-constexpr double spread_ms = 2.0;
+/// Loss where all slots of a server are taken; grows with the square of the part taken.
+constexpr double full_loss = 0.5;
+/// Loss where the answer takes as long as the caller expects, which tells servers apart that would
+/// all be in time.
+constexpr double slow_loss = 0.1;
+/// Loss by an answer from another failure domain.
+constexpr double other_domain_loss = 0.005;
+/// Random part of a loss, so that entry VMs with equal knowledge spread.
+constexpr double spread_loss = 0.005;
 /// Time of an answer of a service that is no engine, assumed until one was timed, in ms.
 constexpr double assumed_answer_ms = 20.0;
 
@@ -69,6 +71,15 @@
   return ranks;
 }
 
+// \returns the probability that something that is estimated at `part` of its limit exceeds it.
+double exceeds(double part) {
+  return 1.0 / (1.0 + std::exp((half_late_part - part) / late_spread));
+}
+
+double part_of(double ms, duration limit) {
+  return limit.ms > 0 ? ms / static_cast<double>(limit.ms) : 0.0;
+}
+
 // The shared prefix is the one before the whole prompt.
 prompt_prefix shared_prefix(std::span<const prompt_prefix> prefixes) {
   return prefixes.size() < 2 ? prompt_prefix{} : prefixes[prefixes.size() - 2];
@@ -143,15 +154,16 @@
     placement next;
     next.server = server;
     next.running = state.all_running();
+    next.rank = ranks[index];
     if (is_engine) {
       weigh_engine(query, state, ranks[index], fleet_gap, next);
     } else {
-      weigh_service(state, next);
+      weigh_service(query, state, next);
     }
-    next.cost_ms += random_.unit() * spread_ms;
+    next.loss += random_.unit() * spread_loss;
     const bool is_avoided = state.health.avoided(query.now);
     const bool better = !found || (best_avoided && !is_avoided) ||
-                        (best_avoided == is_avoided && next.cost_ms < best.cost_ms);
+                        (best_avoided == is_avoided && next.loss < best.loss);
     if (better) {
       best = std::move(next);
       best_avoided = is_avoided;
@@ -178,26 +190,29 @@
 
   out.uncached_tokens = static_cast<std::uint32_t>(shared_unread + own_unread);
   out.expected_ms = waiting + out.uncached_tokens * per_token;
-  out.cost_ms = out.expected_ms + reread_weight * shared_unread * per_token;
-  out.cost_ms += 4.0 * taken * taken * half_full_ms;
-  out.cost_ms += state.health.failure_share() * failing_engine_ms;
-  if (query.target_gap.ms > 0 && state.long_gap.count() >= least_gaps) {
-    const double part = state.long_gap.value() / static_cast<double>(query.target_gap.ms);
-    out.cost_ms += std::max(0.0, part - safe_pause_part) / (1.0 - safe_pause_part) * long_pause_ms;
-  }
-  if (out.server.failure_domain != failure_domain_) {
-    out.cost_ms += other_domain_ms;
-  }
+  const double slowness = part_of(out.expected_ms, query.target_latency);
+  const bool gaps_known = state.long_gap.count() >= least_gaps;
+  const double pause = gaps_known ? part_of(state.long_gap.value(), query.target_gap) : 0.0;
+  const double in_time = (1.0 - exceeds(slowness)) * (1.0 - exceeds(pause));
+  constexpr double tokens_per_unit = 1'000.0;
+
+  out.loss = late_loss * (1.0 - in_time) + slow_loss * slowness;
+  out.loss += reread_loss * shared_unread / tokens_per_unit;
+  out.loss += full_loss * taken * taken;
+  out.loss += state.health.failure_share();
+  out.loss += out.server.failure_domain == failure_domain_ ? 0.0 : other_domain_loss;
 }
 
-void dispatcher::weigh_service(const server_state& state, placement& out) const {
+void dispatcher::weigh_service(const placement_query& query, const server_state& state,
+                               placement& out) const {
   const double answer = state.answer_ms.value() > 0 ? state.answer_ms.value() : assumed_answer_ms;
   const double taken = static_cast<double>(state.all_running()) / std::max(1U, out.server.slots);
   out.expected_ms = answer * (1.0 + taken);
-  out.cost_ms = out.expected_ms + state.health.failure_share() * failing_service_ms;
-  if (out.server.failure_domain != failure_domain_) {
-    out.cost_ms += other_domain_ms;
-  }
+  const double slowness = part_of(out.expected_ms, query.target_latency);
+  out.loss = late_loss * exceeds(slowness) + slow_loss * slowness;
+  out.loss += full_loss * taken * taken;
+  out.loss += state.health.failure_share();
+  out.loss += out.server.failure_domain == failure_domain_ ? 0.0 : other_domain_loss;
 }
 
 sending dispatcher::sent(const placement& chosen, std::vector<prompt_prefix> prefixes,
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -148,6 +148,7 @@
     dispatch::placement_query query;
     query.service = service_;
     query.prefixes = prefixes_;
+    query.target_latency = route_->target_latency;
     query.target_gap = route_->target_gap;
     query.tried = tried_;
     query.now = shared_.time.now();
@@ -203,7 +204,7 @@
 
 asio::awaitable<request_run::next_step> request_run::send_once(const dispatch::placement& to) {
   tried_.push_back(to.server.id);
-  expected_ms_ = to.expected_ms;
+  chosen_ = to;
   send_order order;
   order.server_id = to.server.id;
   order.time_left = left();
@@ -439,7 +440,11 @@
              {"sends", tried_.size()},
              {"events", events_},
              {"prompt_tokens", request_.prompt.prompt_tokens},
-             {"expected_ms", expected_ms_},
+             {"unread_tokens", chosen_.uncached_tokens},
+             {"rank", chosen_.rank},
+             {"expected_ms", static_cast<std::int64_t>(chosen_.expected_ms)},
+             {"loss", chosen_.loss},
+             {"server_running", chosen_.running},
              {"first_ms", first_event_after_.value_or(duration{-1}).ms},
              {"total_ms", total.ms},
              {"config_version", table_ ? table_->version() : 0}});
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -89,7 +89,7 @@
   unsigned status_ = 0;
   std::uint32_t events_ = 0;
   std::optional<duration> first_event_after_;
-  double expected_ms_ = 0;
+  dispatch::placement chosen_;
 };
 
 }  // namespace hawthornnotch::gateway::internal
