--- a/include/hawthornnotch/net/http_client.h
+++ b/include/hawthornnotch/net/http_client.h
@@ -79,8 +79,9 @@
 /// Which connections are kept for further requests.
 struct idle_connections {
   std::size_t per_endpoint = 8;
-  /// Longest time that a connection is kept where the peer does not state its own.
+  /// Longest time that a connection is kept, and the longest where the peer does not state its own.
   duration lifetime{60'000};
+  duration unstated_lifetime{60'000};
   /// A connection is not used in the last part of the time that the peer states in `Keep-Alive`,
   /// since the peer may be closing it.
   duration safety_margin{500};
--- a/include/hawthornnotch/net/http_server.h
+++ b/include/hawthornnotch/net/http_server.h
@@ -69,6 +69,9 @@
   [[nodiscard]] virtual std::uint16_t port() const = 0;
   /// Every further answer carries `Connection: close`.
   virtual void close_after_answer() = 0;
+  /// Closes connections between two requests, now and as they fall idle.  A request that crosses
+  /// the close on its way was not read.
+  virtual void close_idle() = 0;
   /// Stops listening; connections in progress go on.
   virtual void stop_accepting() = 0;
   /// Holds for every request and every wait that begins from now on.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,7 +39,8 @@
 /// Descriptors kept for files, listeners, the store and peers.
 constexpr std::uint32_t reserved_descriptors = 264;
 constexpr std::size_t idle_per_server = 64;
-constexpr duration idle_lifetime{4'000};
+constexpr duration idle_lifetime{30'000};
+constexpr duration unstated_idle_lifetime{2'000};
 
 relay::peer make_self(const gateway_settings& settings, const clock& time) {
   relay::peer self;
@@ -55,6 +56,7 @@
   net::idle_connections kept;
   kept.per_endpoint = idle_per_server;
   kept.lifetime = idle_lifetime;
+  kept.unstated_lifetime = unstated_idle_lifetime;
   return kept;
 }
 
@@ -210,6 +212,9 @@
     const bool noticed = passed >= balancer_notice;
     const bool grace_over = passed >= shared_.settings.stop_grace - stop_reserve;
     const std::size_t open = callers_->open_requests();
+    if (noticed) {
+      callers_->close_idle();
+    }
     if ((noticed && open == 0) || grace_over) {
       finished_all_ = open == 0;
       log_event(level::info, "stopped", {{"after_ms", passed.ms}, {"cut_requests", open}});
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -22,9 +22,9 @@
 constexpr duration list_tick{100};
 /// Age at which the first entry VM in order reads the list again, and what each further one waits
 /// longer, up to the greatest age: well below the time in which a leaving server must be noticed.
-constexpr duration first_reader_age{600};
+constexpr duration first_reader_age{800};
 constexpr duration next_reader_wait{250};
-constexpr duration greatest_age{1'200};
+constexpr duration greatest_age{1'500};
 
 std::chrono::milliseconds to_chrono(duration span) { return std::chrono::milliseconds(span.ms); }
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <optional>
 #include <tuple>
@@ -120,7 +121,10 @@
     error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
   }
-  ~connection() override { --shared_->connections; }
+  ~connection() override {
+    *alive_ = false;
+    --shared_->connections;
+  }
 
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
@@ -209,6 +213,7 @@
       co_return false;
     }
     answered_ = false;
+    served_ = true;
     ++shared_->requests;
     stream_.expires_never();
     departure_.start(stream_.socket());
@@ -298,13 +303,41 @@
   }
 
   asio::awaitable<bool> wait_for_first_byte() {
+    if (!enter_idle()) {
+      co_return false;
+    }
     stream_.expires_after(to_chrono(limits().idle_timeout));
     const auto [error, count] =
         co_await stream_.async_read_some(buffer_.prepare(read_bytes), as_result);
+    leave_idle();
     buffer_.commit(count);
     co_return !error;
   }
 
+  // \returns false if idle connections are to be closed; one that has carried no request yet may
+  // wait for its first.
+  bool enter_idle() {
+    const std::lock_guard lock(shared_->idle_mutex);
+    if (shared_->closing_idle) {
+      return !served_;
+    }
+    shared_->close_by_connection[this] = [this, alive = alive_] {
+      asio::post(stream_.get_executor(), [this, alive] {
+        if (*alive && idle_) {
+          stream_.cancel();
+        }
+      });
+    };
+    idle_ = true;
+    return true;
+  }
+
+  void leave_idle() {
+    const std::lock_guard lock(shared_->idle_mutex);
+    shared_->close_by_connection.erase(this);
+    idle_ = false;
+  }
+
   // Answers what can't be read as a request with the status that says why.
   asio::awaitable<void> refuse(const error_code& error) {
     unsigned code = 400;
@@ -332,7 +365,10 @@
   unsigned version_ = 11;
   bool peer_keeps_alive_ = false;
   bool answered_ = false;
+  bool served_ = false;
+  bool idle_ = false;
   bool broken_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 asio::awaitable<void> run_connection(std::unique_ptr<connection> owned) { co_await owned->run(); }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -3,7 +3,10 @@
 #define HAWTHORNNOTCH_SRC_NET_HTTP_CONNECTION_H_
 
 #include <atomic>
+#include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 
 #include "beast_support.h"
 #include "hawthornnotch/base/blackboard.h"
@@ -17,6 +20,11 @@
   entry<server_limits> limits;
   request_handler handler;
   std::atomic<bool> closing{false};
+  // Set once idle connections are not wanted any more.
+  std::atomic<bool> closing_idle{false};
+  // Idle connections, each with what closes it; posted to the connection's own strand.
+  std::mutex idle_mutex;
+  std::map<const void*, std::function<void()>> close_by_connection;
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> requests{0};
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -105,6 +105,14 @@
 
   [[nodiscard]] std::uint16_t port() const override { return inner_->port(); }
   void close_after_answer() override { inner_->shared().closing = true; }
+  void close_idle() override {
+    server_state& shared = inner_->shared();
+    const std::lock_guard lock(shared.idle_mutex);
+    shared.closing_idle = true;
+    for (const auto& [connection, close] : shared.close_by_connection) {
+      close();
+    }
+  }
   void stop_accepting() override { inner_->stop(); }
   void update_limits(server_limits limits) override {
     inner_->shared().limits.post(std::make_shared<const server_limits>(limits));
