--- a/include/hawthornnotch/gateway/gateway.h
+++ b/include/hawthornnotch/gateway/gateway.h
@@ -42,6 +42,7 @@
   /// \returns what runs the process, for signals and timers of the program.
   [[nodiscard]] virtual boost::asio::any_io_executor executor() = 0;
   [[nodiscard]] virtual std::uint16_t caller_port() const = 0;
+  [[nodiscard]] virtual std::uint16_t readiness_port() const = 0;
   [[nodiscard]] virtual std::uint16_t peer_port() const = 0;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -143,6 +143,7 @@
 
   [[nodiscard]] asio::any_io_executor executor() override { return context_.get_executor(); }
   [[nodiscard]] std::uint16_t caller_port() const override { return callers_->port(); }
+  [[nodiscard]] std::uint16_t readiness_port() const override { return readiness_->port(); }
   [[nodiscard]] std::uint16_t peer_port() const override { return peers_->port(); }
 
  private:
--- /dev/null
+++ b/tests/adapter/wire_protocol_test.cpp
@@ -0,0 +1,101 @@
+#include "platform/wire_protocol.h"
+
+#include "test_case.h"
+
+namespace hawthornnotch::adapter {
+namespace {
+
+net::http_request make_request(net::header_list headers) {
+  net::http_request request;
+  request.method = "POST";
+  request.target = "/draft/7?x=1";
+  request.headers = std::move(headers);
+  request.body = "text";
+  return request;
+}
+
+TEST_THAT(wire_protocol, decodes_what_a_request_says) {
+  const wire_protocol wire;
+  const gateway::caller_request request = wire.decode_request(
+      make_request({{"Host", "ice.example"},
+                    {"X-Attempt-Id", "abc"},
+                    {"X-Deadline-Ms", "1500"},
+                    {"Last-Event-Id", "12"},
+                    {"Authorization", "Bearer key"},
+                    {"X-Token-Count", "1460,80"},
+                    {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410, e4402b7d:250"}}));
+  CPPUNIT_ASSERT_EQUAL(std::string("abc"), request.id);
+  CPPUNIT_ASSERT_EQUAL(std::string("/draft/7"), request.path);
+  CPPUNIT_ASSERT_EQUAL(std::string("key"), request.api_key);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1500}, request.time_left->ms);
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, *request.last_event_id);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, request.prompt.parts.size());
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{0x5c1e07a2}, request.prompt.parts.front().id);
+  CPPUNIT_ASSERT_EQUAL(250U, request.prompt.parts.back().tokens);
+  CPPUNIT_ASSERT_EQUAL(1460U, request.prompt.prompt_tokens);
+  CPPUNIT_ASSERT_EQUAL(80U, request.prompt.max_output_tokens);
+}
+
+TEST_THAT(wire_protocol, goes_on_behind_the_last_event_that_was_forwarded) {
+  const wire_protocol wire;
+  const gateway::caller_request request =
+      wire.decode_request(make_request({{"Last-Event-Id", "12"}}));
+  gateway::send_order order;
+  order.resume_after = 20;
+  const net::http_request sent = wire.encode_request(request, order);
+  CPPUNIT_ASSERT(sent.header("Last-Event-Id") == "20");
+}
+
+TEST_THAT(wire_protocol, tells_answers_that_have_not_run) {
+  const wire_protocol wire;
+  net::http_response head;
+  head.status = 503;
+  CPPUNIT_ASSERT(!wire.decode_answer(head).not_run);
+  head.headers = {{"X-Not-Executed", "1"}};
+  CPPUNIT_ASSERT(wire.decode_answer(head).not_run);
+  head.headers.clear();
+  head.status = 421;
+  CPPUNIT_ASSERT(wire.decode_answer(head).not_run);
+}
+
+TEST_THAT(wire_protocol, reads_a_configuration) {
+  const wire_protocol wire;
+  const auto config = wire.decode_config(
+      R"({"Version":7,"Routes":[{"Name":"r","Host":"h","Prefix":"/p/","Type":"stream",)"
+      R"("TimeoutMs":8000,"TargetLatencyMs":1500,"Priority":1,"MaxAttempts":2,"Anonymous":false,)"
+      R"("Backends":[{"Service":"a","Weight":90},{"Service":"b","Weight":10}],"Resumable":true,)"
+      R"("TargetGapMs":250,"New":{}}],"Services":[{"Name":"a","Engine":{"Slots":128,"Stride":2}}],)"
+      R"("Limits":{"IdleTimeoutMs":9000},"Tenants":[{"Name":"t","ApiKeys":["k"],"Priority":0}]})");
+  CPPUNIT_ASSERT(config.has_value());
+  const routes::route& route = config->routes.at(0);
+  CPPUNIT_ASSERT(route.kind == routes::repeatability::event_stream && route.resumable);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, route.services.size());
+  CPPUNIT_ASSERT_EQUAL(128U, config->services.at(0).engine->slots);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{9000}, config->limits.idle_timeout.ms);
+  CPPUNIT_ASSERT(config->api_keys_required);
+  CPPUNIT_ASSERT_EQUAL(0U, *config->workspaces.at(0).priority);
+}
+
+TEST_THAT(wire_protocol, refuses_a_configuration_that_it_can_not_read_whole) {
+  const wire_protocol wire;
+  CPPUNIT_ASSERT(!wire.decode_config("{"));
+  CPPUNIT_ASSERT(!wire.decode_config(R"({"Version":"7"})"));
+  CPPUNIT_ASSERT(!wire.decode_config(R"({"Version":7,"Routes":[{"Name":"r"}]})"));
+}
+
+TEST_THAT(wire_protocol, names_no_server_for_entries_of_other_writers) {
+  const wire_protocol wire;
+  const auto decode = [&](std::string_view value) {
+    return wire.decode_server("servers/i-1", value).has_value();
+  };
+  CPPUNIT_ASSERT(decode(R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":4,)"
+                        R"("State":"ready","born":1700000000000})"));
+  CPPUNIT_ASSERT(!decode("\xff\xfe"));
+  CPPUNIT_ASSERT(!decode(R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"odd"})"));
+  CPPUNIT_ASSERT(!decode(R"({"Service":7,"Address":"10.0.0.1:80","Zone":"z","State":"ready"})"));
+  CPPUNIT_ASSERT(!decode(R"({"Service":"s","Address":"nowhere","Zone":"z","State":"ready"})"));
+  CPPUNIT_ASSERT(!decode(R"({"Service":"s","Zone":"z","State":"ready"})"));
+}
+
+}  // namespace
+}  // namespace hawthornnotch::adapter
--- /dev/null
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -0,0 +1,190 @@
+#include "hawthornnotch/dispatch/dispatcher.h"
+
+#include <set>
+
+#include "hawthornnotch/dispatch/retry_budget.h"
+#include "test_case.h"
+
+namespace hawthornnotch::dispatch {
+namespace {
+
+using namespace literals;
+
+constexpr std::uint32_t shared_tokens = 13'000;
+constexpr std::uint32_t own_tokens = 3'700;
+
+servers::server_entry make_server(std::string id, std::uint16_t port) {
+  servers::server_entry entry;
+  entry.id = std::move(id);
+  entry.born_ms = 1;
+  entry.service = "forecast";
+  entry.address = {"10.0.0.1", port};
+  entry.failure_domain = "zg-istok";
+  entry.slots = 128;
+  return entry;
+}
+
+std::vector<prompt_prefix> prompt_about(std::uint64_t topic, std::uint64_t request) {
+  prompt_shape prompt;
+  prompt.parts = {{topic, shared_tokens}, {request, own_tokens}};
+  return prefixes_of(prompt);
+}
+
+// Some entry VMs before the same servers.
+class fleet_case {
+ public:
+  explicit fleet_case(std::size_t servers) {
+    servers::list_reading reading;
+    reading.revision = 1;
+    reading.read_at = now;
+    for (std::size_t index = 0; index < servers; ++index) {
+      reading.entries.push_back(
+          make_server("s" + std::to_string(index), static_cast<std::uint16_t>(8000 + index)));
+    }
+    list.apply(reading, now);
+  }
+
+  placement choose(dispatcher& at, const std::vector<prompt_prefix>& prefixes,
+                   std::vector<std::string> tried = {}) const {
+    placement_query query;
+    query.service = "forecast";
+    query.prefixes = prefixes;
+    query.target_latency = 2_s;
+    query.target_gap = 600_ms;
+    query.tried = tried;
+    query.now = now;
+    const auto chosen = at.choose(query);
+    CPPUNIT_ASSERT(chosen.has_value());
+    return *chosen;
+  }
+
+  time_point now{1'000'000};
+  servers::server_list list{servers::server_list_settings{}};
+};
+
+TEST_THAT(dispatcher, sends_a_shared_prompt_to_the_same_server_from_every_entry_vm) {
+  fleet_case fleet(18);
+  dispatcher first(fleet.list, "zg-istok", 1);
+  dispatcher second(fleet.list, "vz-jug", 2);
+  for (std::uint64_t topic = 1; topic <= 50; ++topic) {
+    const placement here = fleet.choose(first, prompt_about(topic, 1'000 + topic));
+    const placement there = fleet.choose(second, prompt_about(topic, 2'000 + topic));
+    CPPUNIT_ASSERT_EQUAL(here.server.id, there.server.id);
+  }
+}
+
+TEST_THAT(dispatcher, spreads_shared_prompts_over_the_servers) {
+  fleet_case fleet(18);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  std::set<std::string> used;
+  for (std::uint64_t topic = 1; topic <= 200; ++topic) {
+    used.insert(fleet.choose(entry, prompt_about(topic, topic)).server.id);
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{18}, used.size());
+}
+
+TEST_THAT(dispatcher, stays_with_the_server_that_holds_the_parts_while_answers_are_in_time) {
+  fleet_case fleet(18);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  const placement home = fleet.choose(entry, prompt_about(7, 1));
+  (void)entry.sent(home, prompt_about(7, 1), fleet.now);
+  const placement next = fleet.choose(entry, prompt_about(7, 2));
+  CPPUNIT_ASSERT_EQUAL(home.server.id, next.server.id);
+}
+
+TEST_THAT(dispatcher, sends_a_hot_prompt_to_few_other_servers_when_its_own_is_behind) {
+  fleet_case fleet(18);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  std::set<std::string> used;
+  for (std::uint64_t request = 1; request <= 60; ++request) {
+    const auto prefixes = prompt_about(7, request);
+    const placement chosen = fleet.choose(entry, prefixes);
+    (void)entry.sent(chosen, prefixes, fleet.now);
+    used.insert(chosen.server.id);
+  }
+  CPPUNIT_ASSERT(used.size() > 1);
+  CPPUNIT_ASSERT(used.size() <= 6);
+}
+
+TEST_THAT(dispatcher, counts_the_work_that_other_entry_vms_have_sent) {
+  fleet_case fleet(18);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  const placement home = fleet.choose(entry, prompt_about(7, 1));
+  std::map<std::string, relay::server_work, std::less<>> work;
+  work[home.server.id] = {home.server.id, 20, 200'000};
+  entry.apply_peer_work(work);
+  const placement other = fleet.choose(entry, prompt_about(7, 2));
+  CPPUNIT_ASSERT(home.server.id != other.server.id);
+}
+
+TEST_THAT(dispatcher, leaves_out_servers_that_were_tried) {
+  fleet_case fleet(2);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  const placement first = fleet.choose(entry, prompt_about(7, 1));
+  const placement second = fleet.choose(entry, prompt_about(7, 1), {first.server.id});
+  CPPUNIT_ASSERT(first.server.id != second.server.id);
+  placement_query query;
+  query.service = "forecast";
+  const std::vector<std::string> all = {"s0", "s1"};
+  query.tried = all;
+  CPPUNIT_ASSERT(entry.choose(query).last_reason() == placement_failure::none_left);
+}
+
+TEST_THAT(dispatcher, avoids_a_server_that_breaks_answers_and_tries_it_again_later) {
+  fleet_case fleet(18);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  const auto prefixes = prompt_about(7, 1);
+  const placement home = fleet.choose(entry, prefixes);
+  const sending sent = entry.sent(home, prefixes, fleet.now);
+  entry.ended(sent, send_end::broken, fleet.now);
+  CPPUNIT_ASSERT(fleet.choose(entry, prefixes).server.id != home.server.id);
+  fleet.now = fleet.now + 30_s;
+  const auto other = prompt_about(7, 2);
+  const sending good = entry.sent(home, other, fleet.now);
+  entry.ended(good, send_end::completed, fleet.now);
+  CPPUNIT_ASSERT_EQUAL(home.server.id, fleet.choose(entry, other).server.id);
+}
+
+TEST_THAT(dispatcher, keeps_callers_who_expect_short_pauses_from_a_server_with_long_ones) {
+  fleet_case fleet(2);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  const auto prefixes = prompt_about(7, 1);
+  const placement home = fleet.choose(entry, prefixes);
+  sending sent = entry.sent(home, prefixes, fleet.now);
+  for (int event = 0; event < 100; ++event) {
+    fleet.now = fleet.now + 300_ms;
+    entry.events(sent, 1, fleet.now);
+  }
+  entry.ended(sent, send_end::completed, fleet.now);
+  placement_query query;
+  query.service = "forecast";
+  query.prefixes = prefixes;
+  query.target_latency = 2_s;
+  query.target_gap = 150_ms;
+  query.now = fleet.now;
+  const auto chosen = entry.choose(query);
+  CPPUNIT_ASSERT(chosen->server.id != home.server.id);
+}
+
+TEST_THAT(retry_budget, allows_a_part_of_the_requests_and_a_share_of_the_slack) {
+  retry_budget_settings settings;
+  settings.ratio = 0.2;
+  settings.slack = 12;
+  settings.used_part = 1.0;
+  retry_budget budget(settings);
+  const time_point now{1'000'000};
+  for (int request = 0; request < 50; ++request) {
+    budget.on_request("forecast", now);
+  }
+  constexpr std::size_t entry_vms = 6;
+  int allowed = 0;
+  while (budget.take("forecast", entry_vms, now)) {
+    ++allowed;
+  }
+  CPPUNIT_ASSERT_EQUAL(12, allowed);
+  CPPUNIT_ASSERT(!budget.take("forecast", entry_vms, now + 9_s));
+  CPPUNIT_ASSERT(budget.take("forecast", entry_vms, now + 10_s + 1_ms));
+}
+
+}  // namespace
+}  // namespace hawthornnotch::dispatch
--- /dev/null
+++ b/tests/gateway/whole_path_test.cpp
@@ -0,0 +1,182 @@
+// The whole path over real sockets: caller, gateway, store and backend servers.
+#include "test_case.h"
+#include "world.h"
+
+namespace hawthornnotch::test {
+namespace {
+
+std::string body_of_events(int first, int last) {
+  std::string body;
+  for (int id = first; id <= last; ++id) {
+    body += "id: " + std::to_string(id) + "\ndata: token\n\n";
+  }
+  return body;
+}
+
+TEST_THAT(gateway, serves_an_idempotent_request_and_its_seal) {
+  gateway_world world;
+  world.add_server("s1", "stations", answer_whole);
+  world.start();
+  const http_response answer = world.must_answer(make_request("GET", "/read/sljeme?x=1", "r1"));
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("/read/sljeme?x=1|"), answer.body);
+  CPPUNIT_ASSERT(answer.header("X-Response-Seal") == "seal");
+}
+
+TEST_THAT(gateway, sets_what_servers_go_by_and_withholds_what_callers_may_not_set) {
+  gateway_world world;
+  fake_server& server = world.add_server("s1", "stations", answer_whole);
+  world.start();
+  http_request request = make_request("POST", "/order/7", "r1");
+  request.body = "two crews";
+  for (const char* name : {"X-Tenant", "X-Hold", "Kv-From", "X-Request-Urgency", "X-Pin-Ms"}) {
+    request.headers.emplace_back(name, "forged");
+  }
+  request.headers.emplace_back("Connection", "X-Private");
+  request.headers.emplace_back("X-Private", "1");
+  request.headers.emplace_back("X-Other", "kept");
+  CPPUNIT_ASSERT_EQUAL(200U, world.must_answer(std::move(request)).status);
+  const http_request seen = server.received().at(0);
+  CPPUNIT_ASSERT_EQUAL(std::string("two crews"), seen.body);
+  CPPUNIT_ASSERT(seen.header("X-Attempt-Id") == "r1");
+  CPPUNIT_ASSERT(seen.header("X-Tenant") == "zagreb");
+  CPPUNIT_ASSERT(seen.header("X-Expect-Instance") == "s1");
+  CPPUNIT_ASSERT(seen.header("X-Request-Urgency") == "1");
+  CPPUNIT_ASSERT(seen.header("X-Other") == "kept");
+  CPPUNIT_ASSERT(std::stoi(std::string(*seen.header("X-Deadline-Ms"))) <= 1'500);
+  for (const char* name : {"Authorization", "X-Hold", "Kv-From", "X-Pin-Ms", "X-Private"}) {
+    CPPUNIT_ASSERT(!seen.header(name));
+  }
+}
+
+TEST_THAT(gateway, refuses_unknown_routes_and_keys) {
+  gateway_world world;
+  world.add_server("s1", "stations", answer_whole);
+  world.start();
+  CPPUNIT_ASSERT_EQUAL(404U, world.must_answer(make_request("GET", "/none/", "r1")).status);
+  http_request stolen = make_request("GET", "/read/", "r2");
+  stolen.headers.back().second = "Bearer stolen";
+  CPPUNIT_ASSERT_EQUAL(401U, world.must_answer(std::move(stolen)).status);
+  http_request open = make_request("GET", "/open/", "r3");
+  open.headers.pop_back();
+  CPPUNIT_ASSERT_EQUAL(200U, world.must_answer(std::move(open)).status);
+}
+
+TEST_THAT(gateway, says_when_to_come_back_where_a_request_has_not_run) {
+  gateway_world world;
+  fake_server& server = world.add_server("s1", "stations", refuse_unrun);
+  world.start();
+  const http_response answer = world.must_answer(make_request("POST", "/order/7", "r1"));
+  CPPUNIT_ASSERT_EQUAL(503U, answer.status);
+  CPPUNIT_ASSERT(answer.header("Retry-After").has_value());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.received().size());
+}
+
+TEST_THAT(gateway, runs_a_non_idempotent_request_at_most_once) {
+  gateway_world world;
+  fake_server& first = world.add_server("s1", "stations", break_off);
+  fake_server& second = world.add_server("s2", "stations", break_off);
+  world.start();
+  const http_response answer = world.must_answer(make_request("POST", "/order/7", "r1"));
+  CPPUNIT_ASSERT_EQUAL(502U, answer.status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.received().size() + second.received().size());
+}
+
+TEST_THAT(gateway, repeats_an_idempotent_request_at_another_server) {
+  gateway_world world;
+  fake_server& broken = world.add_server("s1", "stations", break_off);
+  world.add_server("s2", "stations", answer_whole);
+  world.start();
+  for (int number = 0; number < 8; ++number) {
+    const std::string id = "r" + std::to_string(number);
+    CPPUNIT_ASSERT_EQUAL(200U, world.must_answer(make_request("GET", "/read/", id)).status);
+  }
+  CPPUNIT_ASSERT(broken.received().size() < 8);
+}
+
+TEST_THAT(gateway, hands_on_a_servers_own_failure_with_its_seal) {
+  gateway_world world;
+  world.add_server("s1", "stations", answer_error);
+  world.start();
+  const http_response answer = world.must_answer(make_request("GET", "/read/", "r1"));
+  CPPUNIT_ASSERT_EQUAL(500U, answer.status);
+  CPPUNIT_ASSERT(answer.header("X-Response-Seal").has_value());
+}
+
+TEST_THAT(gateway, answers_when_the_routes_time_is_over) {
+  gateway_world world;
+  fake_server& silent = world.add_server("s1", "stations", never_answer);
+  world.start();
+  const http_response answer = world.must_answer(make_request("POST", "/order/7", "r1"));
+  CPPUNIT_ASSERT_EQUAL(504U, answer.status);
+  world.await([&] { return silent.left() == 1; });
+}
+
+TEST_THAT(gateway, streams_events_and_goes_on_at_another_server) {
+  gateway_world world;
+  fake_server& broken = world.add_server("s1", "forecast", stream_two_and_break);
+  fake_server& whole = world.add_server("s2", "forecast", stream_four);
+  world.start();
+  bool resumed = false;
+  for (int number = 0; number < 20 && !resumed; ++number) {
+    http_request request = make_request("POST", "/draft/1", "r" + std::to_string(number));
+    request.headers.emplace_back("X-Prompt-Prefix", std::to_string(number) + ":500,7:100");
+    const http_response answer = world.must_answer(std::move(request));
+    CPPUNIT_ASSERT_EQUAL(body_of_events(1, 4), answer.body);
+    resumed = !broken.received().empty();
+  }
+  CPPUNIT_ASSERT(resumed);
+  CPPUNIT_ASSERT(whole.received().back().header("Last-Event-Id") == "2");
+}
+
+TEST_THAT(gateway, follows_the_configuration_and_never_goes_back) {
+  gateway_world world;
+  world.add_server("s1", "stations", answer_whole);
+  world.start();
+  world.store().put("op/config", usual_config(7, "new-key"));
+  world.await([&] { return world.must_answer(make_request("GET", "/read/", "r1")).status == 401; });
+  world.store().put("op/config", usual_config(3));
+  http_request request = make_request("GET", "/read/", "r2");
+  request.headers.back().second = "Bearer new-key";
+  CPPUNIT_ASSERT_EQUAL(200U, world.must_answer(std::move(request)).status);
+}
+
+TEST_THAT(gateway, sends_nothing_to_a_server_that_leaves) {
+  gateway_world world;
+  fake_server& leaving = world.add_server("s1", "stations", answer_whole);
+  fake_server& other = world.add_server("s2", "stations", answer_whole);
+  world.start();
+  world.list(leaving, "stations", true);
+  int number = 0;
+  world.await([&] {
+    const std::size_t before = other.received().size();
+    constexpr int in_a_row = 12;
+    for (int request = 0; request < in_a_row; ++request) {
+      world.must_answer(make_request("GET", "/read/", "r" + std::to_string(++number)));
+    }
+    return other.received().size() == before + in_a_row;
+  });
+}
+
+TEST_THAT(gateway, serves_on_while_the_store_is_away) {
+  gateway_world world;
+  world.add_server("s1", "stations", answer_whole);
+  world.start();
+  world.store().set_away(true);
+  CPPUNIT_ASSERT_EQUAL(200U, world.must_answer(make_request("GET", "/read/", "r1")).status);
+  CPPUNIT_ASSERT_EQUAL(200U, world.readiness());
+}
+
+TEST_THAT(gateway, finishes_what_it_has_begun_when_it_stops) {
+  gateway_world world;
+  world.add_server("s1", "stations", answer_whole);
+  world.start();
+  world.gateway().begin_stop();
+  world.await([&] { return world.readiness() != 200; });
+  const http_response answer = world.must_answer(make_request("GET", "/read/", "r1"));
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+  CPPUNIT_ASSERT(answer.header("Connection") == "close");
+}
+
+}  // namespace
+}  // namespace hawthornnotch::test
--- /dev/null
+++ b/tests/gateway/world.cpp
@@ -0,0 +1,363 @@
+#include "world.h"
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <tuple>
+
+#include "hawthornnotch/platform/base64.h"
+#include "platform/store_client.h"
+#include "test_case.h"
+
+namespace hawthornnotch::test {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto patience = std::chrono::seconds(20);
+constexpr auto poll_period = std::chrono::milliseconds(5);
+
+std::string query_value(const std::string& target, const std::string& name) {
+  const std::size_t at = target.find(name + "=");
+  if (at == std::string::npos) {
+    return "";
+  }
+  const std::size_t from = at + name.size() + 1;
+  return target.substr(from, target.find('&', from) - from);
+}
+
+bool begins_with(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+http_response sealed(const http_request& request) {
+  http_response response;
+  response.headers.emplace_back("X-Attempt-Id", request.header("X-Attempt-Id").value_or(""));
+  response.headers.emplace_back("X-Response-Seal", "seal");
+  return response;
+}
+
+std::string event_text(std::uint64_t id) {
+  return "id: " + std::to_string(id) + "\ndata: token\n\n";
+}
+
+std::uint64_t first_event(const http_request& request) {
+  const auto last = request.header("Last-Event-Id");
+  return last ? std::stoull(std::string(*last)) + 1 : 1;
+}
+
+asio::awaitable<void> write_events(const http_request& request, net::response_writer& writer,
+                                   std::uint64_t last) {
+  std::ignore = co_await writer.start(200, sealed(request).headers);
+  for (std::uint64_t id = first_event(request); id <= last; ++id) {
+    const std::string text = event_text(id);
+    std::ignore = co_await writer.write(text);
+  }
+}
+
+}  // namespace
+
+loopback::loopback() : work_(asio::make_work_guard(context_)) {
+  for (auto& thread : threads_) {
+    thread = std::thread([this] { context_.run(); });
+  }
+}
+
+loopback::~loopback() {
+  work_.reset();
+  context_.stop();
+  for (auto& thread : threads_) {
+    thread.join();
+  }
+}
+
+std::unique_ptr<net::http_server> loopback::serve(net::request_handler handler) {
+  auto server = net::http_server::listen(executor(), {"127.0.0.1", 0}, {}, std::move(handler));
+  CPPUNIT_ASSERT(server.has_value());
+  return std::move(*server);
+}
+
+fake_store::fake_store(loopback& around) : around_(around) {
+  server_ = around.serve([this](http_request request, net::response_writer& writer) {
+    return handle(std::move(request), writer);
+  });
+}
+
+void fake_store::put(const std::string& key, const std::string& value) {
+  const std::lock_guard lock(mutex_);
+  items_[key] = {value, ++revision_};
+}
+
+void fake_store::erase(const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  ++revision_;
+  items_.erase(key);
+}
+
+void fake_store::set_away(bool away) {
+  const std::lock_guard lock(mutex_);
+  away_ = away;
+}
+
+asio::awaitable<void> fake_store::handle(http_request request, net::response_writer& writer) {
+  http_response response;
+  if (begins_with(request.target, "/api/kv-watch")) {
+    response = co_await watch(query_value(request.target, "Prefix"),
+                              std::stoll(query_value(request.target, "After")));
+  } else {
+    response = answer(request);
+  }
+  std::ignore = co_await writer.send(std::move(response));
+}
+
+asio::awaitable<http_response> fake_store::watch(std::string prefix, std::int64_t after) {
+  constexpr int most_polls = 200;
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  http_response response;
+  for (int poll = 0; poll < most_polls; ++poll) {
+    response.body = changes_after(prefix, after);
+    if (!response.body.empty()) {
+      co_return response;
+    }
+    timer.expires_after(poll_period);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  response.body = R"({"events":[],"CurrentRev":)" + std::to_string(after) + "}";
+  co_return response;
+}
+
+// Empty where there is no change; the history of erased keys is not kept.
+std::string fake_store::changes_after(const std::string& prefix, std::int64_t after) {
+  const std::lock_guard lock(mutex_);
+  json::array events;
+  for (const auto& [key, held] : items_) {
+    if (begins_with(key, prefix) && held.revision > after) {
+      events.push_back(json::object{{"Key", key},
+                                    {"Value", platform::encode_base64(held.value)},
+                                    {"Revision", held.revision}});
+    }
+  }
+  if (events.empty()) {
+    return "";
+  }
+  return json::serialize(json::object{{"events", events}, {"CurrentRev", revision_}});
+}
+
+http_response fake_store::answer(const http_request& request) {
+  const std::lock_guard lock(mutex_);
+  http_response response;
+  if (away_) {
+    response.status = 503;
+    return response;
+  }
+  json::object body{{"CurrentRev", revision_}};
+  if (begins_with(request.target, "/api/kv-key")) {
+    const std::string key = query_value(request.target, "Key");
+    const auto found = items_.find(key);
+    if (found == items_.end()) {
+      response.status = 404;
+    } else {
+      body["Key"] = key;
+      body["Value"] = platform::encode_base64(found->second.value);
+      body["Revision"] = found->second.revision;
+    }
+  } else {
+    const std::string prefix = query_value(request.target, "Prefix");
+    json::array items;
+    for (const auto& [key, held] : items_) {
+      if (begins_with(key, prefix)) {
+        items.push_back(json::object{{"Key", key},
+                                     {"Value", platform::encode_base64(held.value)},
+                                     {"Revision", held.revision}});
+      }
+    }
+    body["Items"] = std::move(items);
+    body["HasMore"] = false;
+  }
+  response.body = json::serialize(body);
+  return response;
+}
+
+fake_server::fake_server(loopback& around, std::string id, behaviour answers)
+    : id_(std::move(id)), answers_(std::move(answers)) {
+  server_ = around.serve(
+      [this](http_request request, net::response_writer& writer) -> asio::awaitable<void> {
+        {
+          const std::lock_guard lock(mutex_);
+          received_.push_back(request);
+        }
+        writer.on_peer_gone([this] {
+          const std::lock_guard lock(mutex_);
+          ++left_;
+        });
+        co_await answers_(request, writer);
+      });
+}
+
+std::vector<http_request> fake_server::received() {
+  const std::lock_guard lock(mutex_);
+  return received_;
+}
+
+std::size_t fake_server::left() {
+  const std::lock_guard lock(mutex_);
+  return left_;
+}
+
+std::string fake_server::entry(const std::string& service, bool leaving) const {
+  return json::serialize(json::object{{"Service", service},
+                                      {"Address", "127.0.0.1:" + std::to_string(server_->port())},
+                                      {"Zone", "zg-istok"},
+                                      {"Slots", 8},
+                                      {"State", leaving ? "draining" : "ready"},
+                                      {"born", 1}});
+}
+
+asio::awaitable<void> answer_whole(const http_request& request, net::response_writer& writer) {
+  http_response response = sealed(request);
+  response.body = request.target + "|" + request.body;
+  std::ignore = co_await writer.send(std::move(response));
+}
+
+asio::awaitable<void> answer_error(const http_request& request, net::response_writer& writer) {
+  http_response response = sealed(request);
+  response.status = 500;
+  std::ignore = co_await writer.send(std::move(response));
+}
+
+asio::awaitable<void> refuse_unrun(const http_request& request, net::response_writer& writer) {
+  http_response response;
+  response.status = 503;
+  response.headers.emplace_back("X-Attempt-Id", request.header("X-Attempt-Id").value_or(""));
+  response.headers.emplace_back("X-Not-Executed", "1");
+  std::ignore = co_await writer.send(std::move(response));
+}
+
+asio::awaitable<void> break_off(const http_request& /*request*/, net::response_writer& writer) {
+  writer.abort();
+  co_return;
+}
+
+asio::awaitable<void> never_answer(const http_request& /*request*/,
+                                   net::response_writer& /*writer*/) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, patience);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> stream_four(const http_request& request, net::response_writer& writer) {
+  constexpr std::uint64_t last = 4;
+  co_await write_events(request, writer, last);
+  std::ignore = co_await writer.finish();
+}
+
+asio::awaitable<void> stream_two_and_break(const http_request& request,
+                                           net::response_writer& writer) {
+  constexpr std::uint64_t last = 2;
+  co_await write_events(request, writer, last);
+  writer.abort();
+}
+
+gateway_world::gateway_world() : store_(around_), client_(net::http_client::create(4)) {
+  store_.put("op/config", usual_config(1));
+}
+
+gateway_world::~gateway_world() {
+  if (thread_.joinable()) {
+    gateway_->begin_stop();
+    thread_.join();
+  }
+}
+
+fake_server& gateway_world::add_server(const std::string& id, const std::string& service,
+                                       fake_server::behaviour answers) {
+  servers_.push_back(std::make_unique<fake_server>(around_, id, std::move(answers)));
+  list(*servers_.back(), service);
+  return *servers_.back();
+}
+
+void gateway_world::list(fake_server& server, const std::string& service, bool leaving) {
+  store_.put("servers/" + server.id(), server.entry(service, leaving));
+}
+
+void gateway_world::start() {
+  gateway::gateway_settings settings;
+  settings.vm = "entry-1";
+  settings.failure_domain = "zg-istok";
+  const endpoint any_port{"127.0.0.1", 0};
+  settings.callers = any_port;
+  settings.readiness = any_port;
+  settings.peers = any_port;
+  settings.metrics = any_port;
+  settings.store = store_.address();
+  settings.stop_grace = duration{5'000};
+  auto made = gateway::gateway::create(settings, wire_, adapter::make_store_client);
+  CPPUNIT_ASSERT(made.has_value());
+  gateway_ = std::move(*made);
+  thread_ = std::thread([this] { gateway_->run(); });
+  await([this] { return readiness() == 200; });
+}
+
+endpoint gateway_world::callers() const { return {"127.0.0.1", gateway_->caller_port()}; }
+
+result<http_response, net::net_failure> gateway_world::call(http_request request) {
+  return around_.await(client_->fetch(callers(), std::move(request), {}));
+}
+
+http_response gateway_world::must_answer(http_request request) {
+  auto answer = call(std::move(request));
+  CPPUNIT_ASSERT(answer.has_value());
+  return *answer;
+}
+
+unsigned gateway_world::readiness() {
+  http_request request;
+  request.target = "/api/readyz";
+  const endpoint at{"127.0.0.1", gateway_->readiness_port()};
+  auto answer = around_.await(client_->fetch(at, std::move(request), {}));
+  return answer ? answer->status : 0;
+}
+
+void gateway_world::await(const std::function<bool()>& holds) {
+  const auto end = std::chrono::steady_clock::now() + patience;
+  while (!holds()) {
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() < end);
+    std::this_thread::sleep_for(poll_period);
+  }
+}
+
+http_request make_request(std::string method, std::string path, std::string id) {
+  http_request request;
+  request.method = std::move(method);
+  request.target = std::move(path);
+  request.headers = {{"Host", "ice.example"},
+                     {"X-Attempt-Id", std::move(id)},
+                     {"X-Deadline-Ms", "5000"},
+                     {"Authorization", "Bearer key-z"}};
+  return request;
+}
+
+std::string usual_config(int version, const std::string& key) {
+  const auto route = [](const char* prefix, const char* type, const char* service, int attempts) {
+    return json::object{{"Name", prefix}, {"Host", "ice.example"}, {"Prefix", prefix},
+                        {"Type", type},   {"TimeoutMs", 1'500},    {"TargetLatencyMs", 400},
+                        {"Priority", 2},  {"Service", service},    {"MaxAttempts", attempts}};
+  };
+  json::object draft = route("/draft/", "stream", "forecast", 2);
+  draft["Resumable"] = true;
+  json::object open = route("/open/", "safe", "stations", 2);
+  open["Anonymous"] = true;
+  const json::object service_one{{"Name", "stations"}};
+  const json::object service_two{{"Name", "forecast"}, {"Engine", json::object{{"Slots", 8}}}};
+  json::object config{
+      {"Version", version},
+      {"Routes", json::array{route("/read/", "safe", "stations", 2),
+                             route("/order/", "unsafe", "stations", 1), draft, open}},
+      {"Services", json::array{service_one, service_two}},
+      {"Tenants",
+       json::array{json::object{
+           {"Name", "zagreb"}, {"ApiKeys", json::array{json::string(key)}}, {"Priority", 1}}}}};
+  return json::serialize(config);
+}
+
+}  // namespace hawthornnotch::test
--- /dev/null
+++ b/tests/gateway/world.h
@@ -0,0 +1,154 @@
+// A small platform around one gateway: store, backend servers and callers over loopback sockets.
+#ifndef HAWTHORNNOTCH_TESTS_GATEWAY_WORLD_H_
+#define HAWTHORNNOTCH_TESTS_GATEWAY_WORLD_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_future.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "hawthornnotch/gateway/gateway.h"
+#include "hawthornnotch/net/http_client.h"
+#include "hawthornnotch/net/http_server.h"
+#include "platform/wire_protocol.h"
+
+namespace hawthornnotch::test {
+
+using net::header_list;
+using net::http_request;
+using net::http_response;
+
+// Two threads that run the stand-ins.
+class loopback {
+ public:
+  loopback();
+  ~loopback();
+  loopback(const loopback&) = delete;
+  loopback& operator=(const loopback&) = delete;
+  boost::asio::any_io_executor executor() { return context_.get_executor(); }
+  std::unique_ptr<net::http_server> serve(net::request_handler handler);
+  template <class Result>
+  Result await(boost::asio::awaitable<Result> what) {
+    return boost::asio::co_spawn(boost::asio::make_strand(context_), std::move(what),
+                                 boost::asio::use_future)
+        .get();
+  }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  std::thread threads_[2];
+};
+
+// The platform's store: keys, revisions, watches; refuses every call while it is away.
+class fake_store {
+ public:
+  explicit fake_store(loopback& around);
+  void put(const std::string& key, const std::string& value);
+  void erase(const std::string& key);
+  void set_away(bool away);
+  [[nodiscard]] endpoint address() const { return {"127.0.0.1", server_->port()}; }
+
+ private:
+  struct item {
+    std::string value;
+    std::int64_t revision = 0;
+  };
+  boost::asio::awaitable<void> handle(http_request request, net::response_writer& writer);
+  boost::asio::awaitable<http_response> watch(std::string prefix, std::int64_t after);
+  http_response answer(const http_request& request);
+  std::string changes_after(const std::string& prefix, std::int64_t after);
+
+  loopback& around_;
+  std::mutex mutex_;
+  std::map<std::string, item> items_;
+  std::int64_t revision_ = 100;
+  bool away_ = false;
+  std::unique_ptr<net::http_server> server_;
+};
+
+// A backend server that keeps what it was sent and answers as told.
+class fake_server {
+ public:
+  using behaviour =
+      std::function<boost::asio::awaitable<void>(const http_request&, net::response_writer&)>;
+  fake_server(loopback& around, std::string id, behaviour answers);
+  [[nodiscard]] std::vector<http_request> received();
+  [[nodiscard]] std::size_t left();
+  // What the server writes into the list.
+  [[nodiscard]] std::string entry(const std::string& service, bool leaving = false) const;
+  [[nodiscard]] const std::string& id() const { return id_; }
+
+ private:
+  std::string id_;
+  std::mutex mutex_;
+  std::vector<http_request> received_;
+  std::size_t left_ = 0;
+  behaviour answers_;
+  std::unique_ptr<net::http_server> server_;
+};
+
+// Behaviours of servers.
+boost::asio::awaitable<void> answer_whole(const http_request& request,
+                                          net::response_writer& writer);
+boost::asio::awaitable<void> answer_error(const http_request& request,
+                                          net::response_writer& writer);
+boost::asio::awaitable<void> refuse_unrun(const http_request& request,
+                                          net::response_writer& writer);
+boost::asio::awaitable<void> break_off(const http_request& request, net::response_writer& writer);
+boost::asio::awaitable<void> never_answer(const http_request& request,
+                                          net::response_writer& writer);
+boost::asio::awaitable<void> stream_four(const http_request& request, net::response_writer& writer);
+boost::asio::awaitable<void> stream_two_and_break(const http_request& request,
+                                                  net::response_writer& writer);
+
+// One gateway with its store.
+class gateway_world {
+ public:
+  gateway_world();
+  ~gateway_world();
+  gateway_world(const gateway_world&) = delete;
+  gateway_world& operator=(const gateway_world&) = delete;
+
+  fake_server& add_server(const std::string& id, const std::string& service,
+                          fake_server::behaviour answers);
+  void list(fake_server& server, const std::string& service, bool leaving = false);
+  // Starts the gateway and waits until it is ready.
+  void start();
+  result<http_response, net::net_failure> call(http_request request);
+  http_response must_answer(http_request request);
+  unsigned readiness();
+  // Waits until `holds`; fails the test after some seconds.
+  void await(const std::function<bool()>& holds);
+  gateway::gateway& gateway() { return *gateway_; }
+  fake_store& store() { return store_; }
+  loopback& around() { return around_; }
+  [[nodiscard]] endpoint callers() const;
+
+ private:
+  loopback around_;
+  fake_store store_;
+  std::unique_ptr<net::http_client> client_;
+  std::vector<std::unique_ptr<fake_server>> servers_;
+  adapter::wire_protocol wire_;
+  std::unique_ptr<gateway::gateway> gateway_;
+  std::thread thread_;
+};
+
+// Requests of the routes of `usual_config`.
+http_request make_request(std::string method, std::string path, std::string id);
+// Version with one route of each kind: /read/, /order/, /draft/ (resumable) and /open/.
+std::string usual_config(int version, const std::string& key = "key-z");
+
+}  // namespace hawthornnotch::test
+
+#endif  // HAWTHORNNOTCH_TESTS_GATEWAY_WORLD_H_
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -140,19 +140,88 @@
   CPPUNIT_ASSERT_EQUAL(413U, answer->status);
 }
 
-TEST_THAT(http, answers_rubbish_with_400_and_closes) {
-  running_context running;
-  auto server = serve(running, {}, echo);
+// Sends bytes as they are.  \returns all that comes back until the server closes.
+std::string exchange_bytes(const http_server& server, const std::string& bytes) {
   asio::io_context own;
   asio::ip::tcp::socket socket(own);
-  socket.connect({asio::ip::make_address("127.0.0.1"), server->port()});
-  asio::write(socket, asio::buffer(std::string("\x01\x02 rubbish\r\n\r\n")));
+  socket.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+  asio::write(socket, asio::buffer(bytes));
   std::string answer;
   boost::system::error_code error;
   asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+std::size_t count_answers(const std::string& text) {
+  std::size_t count = 0;
+  for (auto at = text.find("HTTP/1.1 "); at != std::string::npos;
+       at = text.find("HTTP/1.1 ", at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+TEST_THAT(http, answers_rubbish_with_400_and_closes) {
+  running_context running;
+  auto server = serve(running, {}, echo);
+  const std::string answer = exchange_bytes(*server, "\x01\x02 rubbish\r\n\r\n");
   CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 400"), answer.substr(0, 12));
 }
 
+TEST_THAT(http, reads_nothing_behind_a_request_whose_end_is_in_doubt) {
+  running_context running;
+  auto server = serve(running, {}, echo);
+  const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (const std::string header :
+       {"Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", "Host: b\r\n",
+        "Folded: a\r\n b\r\n"}) {
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\n" + header + "\r\n" + hidden;
+    const std::string answer = exchange_bytes(*server, request);
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 400"), answer.substr(0, 12));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_answers(answer));
+  }
+  const std::string without_host = exchange_bytes(*server, "GET / HTTP/1.1\r\n\r\n" + hidden);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_answers(without_host));
+}
+
+TEST_THAT(http, closes_idle_connections_when_told) {
+  running_context running;
+  auto server = serve(running, {}, echo);
+  auto client = http_client::create(4);
+  auto answer = running.await(client->fetch({"127.0.0.1", server->port()}, post("x"), {}));
+  CPPUNIT_ASSERT(answer.has_value());
+  server->close_idle();
+  while (server->open_connections() > 0) {
+    std::this_thread::yield();
+  }
+}
+
+TEST_THAT(http, skips_an_answer_to_an_earlier_request) {
+  running_context running;
+  asio::io_context own;
+  asio::ip::tcp::acceptor acceptor(own, {asio::ip::make_address("127.0.0.1"), 0});
+  std::thread peer([&] {
+    asio::ip::tcp::socket socket = acceptor.accept();
+    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nId: old\r\n"
+                                                 "Content-Length: 3\r\n\r\nold"
+                                                 "HTTP/1.1 200 OK\r\nId: new\r\n"
+                                                 "Content-Length: 3\r\n\r\nnew")));
+    std::string rest;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(rest), error);
+  });
+  auto client = http_client::create(4);
+  exchange_limits limits;
+  limits.is_expected = [](const http_response& head) { return head.header("Id") == "new"; };
+  const endpoint to{"127.0.0.1", acceptor.local_endpoint().port()};
+  auto answer = running.await(client->fetch(to, post("x"), limits));
+  CPPUNIT_ASSERT(answer.has_value());
+  CPPUNIT_ASSERT_EQUAL(std::string("new"), answer->body);
+  client.reset();
+  peer.join();
+}
+
 // Streams until the peer has gone, then says so.
 struct endless_stream {
   std::promise<void>& seen;
--- /dev/null
+++ b/tests/relay/relay_test.cpp
@@ -0,0 +1,126 @@
+#include "hawthornnotch/relay/exchange.h"
+#include "hawthornnotch/relay/peer_set.h"
+#include "test_case.h"
+
+namespace hawthornnotch::relay {
+namespace {
+
+using namespace literals;
+
+constexpr time_point start{1'000'000};
+
+peer make_peer(std::string vm, std::uint64_t heartbeat = 1) {
+  peer made;
+  made.failure_domain = "zg-istok";
+  made.address = {"10.0.0.1", static_cast<std::uint16_t>(7000 + vm.back())};
+  made.vm = std::move(vm);
+  made.incarnation = "one";
+  made.heartbeat = heartbeat;
+  return made;
+}
+
+exchange_message message_from(const peer& from) {
+  exchange_message message;
+  message.from = from;
+  return message;
+}
+
+peer_set three_peers(time_point now) {
+  peer_set peers(make_peer("a"), {}, {});
+  peers.heard(message_from(make_peer("b")), now);
+  peers.heard(message_from(make_peer("c")), now);
+  return peers;
+}
+
+TEST_THAT(exchange, survives_its_own_encoding) {
+  exchange_message message = message_from(make_peer("a", 77));
+  message.config_version = 12;
+  message.list_revision = 900;
+  message.list_age = 250_ms;
+  message.list_digest = 0xFEDC'BA98'7654'3210ULL;
+  message.work = {{"s1", 3, 17'000}};
+  message.peers = {make_peer("b")};
+  message.config = R"({"Version":12})";
+  servers::server_entry entry;
+  entry.id = "s1";
+  entry.born_ms = 1'700'000'000'000;
+  entry.service = "forecast";
+  entry.address = {"10.0.0.9", 80};
+  entry.failure_domain = "zg-istok";
+  entry.leaving = true;
+  message.list = std::vector{entry};
+  const auto decoded = decode(encode(message));
+  CPPUNIT_ASSERT(decoded.has_value());
+  CPPUNIT_ASSERT_EQUAL(message.from.heartbeat, decoded->from.heartbeat);
+  CPPUNIT_ASSERT_EQUAL(message.list_digest, decoded->list_digest);
+  CPPUNIT_ASSERT_EQUAL(message.work.front().prefill_tokens, decoded->work.front().prefill_tokens);
+  CPPUNIT_ASSERT_EQUAL(*message.config, *decoded->config);
+  CPPUNIT_ASSERT(decoded->list->front() == entry);
+}
+
+TEST_THAT(exchange, refuses_what_it_did_not_write) {
+  CPPUNIT_ASSERT(!decode(""));
+  CPPUNIT_ASSERT(!decode("[]"));
+  CPPUNIT_ASSERT(!decode(R"({"from":{"vm":"a"}})"));
+  std::string text = encode(message_from(make_peer("a")));
+  text.resize(text.size() / 2);
+  CPPUNIT_ASSERT(!decode(text));
+}
+
+TEST_THAT(peer_set, counts_a_peer_as_dead_when_its_heartbeat_no_longer_rises) {
+  peer_set peers = three_peers(start);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, peers.live_count(start + 1_s));
+  peers.heard(message_from(make_peer("c", 2)), start + 3_s);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, peers.live_count(start + 5_s));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.live_count(start + 9_s));
+}
+
+TEST_THAT(peer_set, believes_a_restarted_peer_whose_clock_went_back) {
+  peer_set peers = three_peers(start);
+  peers.heard(message_from(make_peer("b", 1'000)), start);
+  peer again = make_peer("b", 5);
+  again.incarnation = "two";
+  peers.heard(message_from(again), start + 5_s);
+  peers.heard(message_from(make_peer("c", 2)), start + 5_s);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, peers.live_count(start + 6_s));
+}
+
+TEST_THAT(peer_set, contacts_every_peer_in_turn_and_passes_over_silent_ones) {
+  peer_set peers = three_peers(start);
+  random_source random(1);
+  const auto first = peers.next_contact(start, random);
+  const auto second = peers.next_contact(start, random);
+  CPPUNIT_ASSERT(first && second && *first != *second);
+  peers.contact_failed(*first, start);
+  CPPUNIT_ASSERT(*peers.next_contact(start, random) == *second);
+  CPPUNIT_ASSERT(*peers.next_contact(start, random) == *second);
+}
+
+TEST_THAT(peer_set, asks_a_seed_while_it_knows_nobody) {
+  const endpoint seed{"10.0.0.7", 7001};
+  peer_set peers(make_peer("a"), {seed}, {});
+  random_source random(1);
+  CPPUNIT_ASSERT(*peers.next_contact(start, random) == seed);
+}
+
+TEST_THAT(peer_set, names_each_live_vm_once_in_the_order_of_reading) {
+  peer_set peers = three_peers(start);
+  const std::size_t among_three = peers.reading_rank(start);
+  CPPUNIT_ASSERT(among_three < 3);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peers.reading_rank(start + 10_s));
+}
+
+TEST_THAT(peer_set, sums_the_fresh_work_of_peers) {
+  peer_set peers = three_peers(start);
+  exchange_message from_b = message_from(make_peer("b", 2));
+  from_b.work = {{"s1", 2, 5'000}};
+  exchange_message from_c = message_from(make_peer("c", 2));
+  from_c.work = {{"s1", 1, 1'000}};
+  peers.heard(from_b, start);
+  peers.heard(from_c, start + 1_s);
+  CPPUNIT_ASSERT_EQUAL(3U, peers.work_of_peers(start + 1_s).at("s1").running);
+  CPPUNIT_ASSERT_EQUAL(1U, peers.work_of_peers(start + 2_s + 500_ms).at("s1").running);
+}
+
+}  // namespace
+}  // namespace hawthornnotch::relay
--- /dev/null
+++ b/tests/routes/route_table_test.cpp
@@ -0,0 +1,85 @@
+#include "hawthornnotch/routes/route_table.h"
+
+#include "test_case.h"
+
+namespace hawthornnotch::routes {
+namespace {
+
+route make_route(std::string name, std::string host, std::string prefix) {
+  route made;
+  made.name = std::move(name);
+  made.host = std::move(host);
+  made.prefix = std::move(prefix);
+  made.services = {{"forecast", 1}};
+  return made;
+}
+
+routing_config two_prefixes() {
+  routing_config config;
+  config.version = 5;
+  config.routes = {make_route("all", "ice.example", "/"),
+                   make_route("bulletins", "ice.example", "/bulletins/")};
+  config.workspaces = {{"zagreb", {"key-z"}, std::nullopt}, {"split", {"key-s"}, 1U}};
+  config.api_keys_required = true;
+  return config;
+}
+
+std::string found_name(const route_match& match) {
+  const auto* found = std::get_if<matched>(&match);
+  return found == nullptr ? "" : found->found->name;
+}
+
+TEST_THAT(route_table, takes_the_longest_prefix_of_the_host) {
+  const auto table = route_table::create(two_prefixes());
+  CPPUNIT_ASSERT_EQUAL(std::string("bulletins"),
+                       found_name(table->find({"ice.example", "/bulletins/7", "key-z"})));
+  CPPUNIT_ASSERT_EQUAL(std::string("all"),
+                       found_name(table->find({"ice.example", "/bulletinsX", "key-z"})));
+  CPPUNIT_ASSERT(std::holds_alternative<no_such_route>(
+      table->find({"other.example", "/bulletins/7", "key-z"})));
+}
+
+TEST_THAT(route_table, gives_the_workspace_that_holds_the_key) {
+  const auto table = route_table::create(two_prefixes());
+  const route_match match = table->find({"ice.example", "/", "key-s"});
+  CPPUNIT_ASSERT_EQUAL(std::string("split"), std::get<matched>(match).workspace->name);
+}
+
+TEST_THAT(route_table, refuses_an_unknown_key_but_on_anonymous_routes) {
+  routing_config config = two_prefixes();
+  config.routes.front().anonymous = true;
+  const auto table = route_table::create(std::move(config));
+  CPPUNIT_ASSERT(std::holds_alternative<unknown_api_key>(
+      table->find({"ice.example", "/bulletins/7", "stolen"})));
+  const route_match anonymous = table->find({"ice.example", "/x", ""});
+  CPPUNIT_ASSERT(std::get<matched>(anonymous).workspace == nullptr);
+}
+
+TEST_THAT(route_table, refuses_every_key_when_the_last_one_is_taken_away) {
+  routing_config config = two_prefixes();
+  config.workspaces.clear();
+  const auto table = route_table::create(std::move(config));
+  CPPUNIT_ASSERT(
+      std::holds_alternative<unknown_api_key>(table->find({"ice.example", "/", "key-z"})));
+}
+
+TEST_THAT(route_table, splits_by_weight) {
+  route split = make_route("split", "ice.example", "/");
+  split.services = {{"old", 90}, {"new", 10}};
+  CPPUNIT_ASSERT_EQUAL(std::string("old"), route_table::pick_service(split, 0.0));
+  CPPUNIT_ASSERT_EQUAL(std::string("old"), route_table::pick_service(split, 0.89));
+  CPPUNIT_ASSERT_EQUAL(std::string("new"), route_table::pick_service(split, 0.91));
+}
+
+TEST_THAT(config_holder, never_goes_back) {
+  config_holder held;
+  routing_config config = two_prefixes();
+  CPPUNIT_ASSERT(held.offer(route_table::create(config)));
+  CPPUNIT_ASSERT(!held.offer(route_table::create(config)));
+  config.version = 4;
+  CPPUNIT_ASSERT(!held.offer(route_table::create(config)));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, held.version());
+}
+
+}  // namespace
+}  // namespace hawthornnotch::routes
--- /dev/null
+++ b/tests/servers/server_list_test.cpp
@@ -0,0 +1,85 @@
+#include "hawthornnotch/servers/server_list.h"
+
+#include "test_case.h"
+
+namespace hawthornnotch::servers {
+namespace {
+
+using namespace literals;
+
+server_entry make_entry(std::string id, std::int64_t born_ms = 1) {
+  server_entry entry;
+  entry.id = std::move(id);
+  entry.born_ms = born_ms;
+  entry.service = "forecast";
+  entry.address = {"10.0.0.1", 80};
+  return entry;
+}
+
+class list_case {
+ public:
+  // Reads the list `after` the reading before.
+  list_change read(std::vector<server_entry> entries, duration after = 500_ms) {
+    now_ = now_ + after;
+    return list.apply({++revision_, now_, std::move(entries)}, now_);
+  }
+  [[nodiscard]] std::size_t serving() const { return list.serving("forecast").size(); }
+  server_list list{server_list_settings{}};
+
+ private:
+  time_point now_{1'000'000};
+  std::int64_t revision_ = 10;
+};
+
+TEST_THAT(server_list, gives_no_work_to_a_server_that_leaves_and_never_again_in_that_start) {
+  list_case test;
+  test.read({make_entry("a"), make_entry("b")});
+  server_entry leaving = make_entry("a");
+  leaving.leaving = true;
+  const list_change change = test.read({leaving, make_entry("b")});
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, change.leaving.size());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.serving());
+  test.read({make_entry("a"), make_entry("b")});
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.serving());
+}
+
+TEST_THAT(server_list, takes_a_new_start_under_the_same_id_as_a_new_server) {
+  list_case test;
+  server_entry leaving = make_entry("a", 1);
+  leaving.leaving = true;
+  test.read({leaving});
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.serving());
+  const list_change change = test.read({make_entry("a", 2)});
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, change.added.size());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.serving());
+}
+
+TEST_THAT(server_list, drops_a_missing_entry_at_once_while_the_store_is_there) {
+  list_case test;
+  test.read({make_entry("a"), make_entry("b")});
+  const list_change change = test.read({make_entry("b")});
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, change.removed.size());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.serving());
+}
+
+TEST_THAT(server_list, keeps_entries_that_lapsed_in_an_outage_until_they_can_be_back) {
+  list_case test;
+  test.read({make_entry("a"), make_entry("b")});
+  test.read({}, 5_s);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, test.serving());
+  test.read({make_entry("b")}, 1_s);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, test.serving());
+  test.read({make_entry("b")}, 1_s + 100_ms);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.serving());
+}
+
+TEST_THAT(server_list, ignores_a_reading_older_than_what_it_knows) {
+  list_case test;
+  test.read({make_entry("a"), make_entry("b")});
+  const list_change change = test.list.apply({3, {1'000'000}, {make_entry("a")}}, {1'000'500});
+  CPPUNIT_ASSERT(change.empty());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, test.serving());
+}
+
+}  // namespace
+}  // namespace hawthornnotch::servers
