--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -29,7 +29,7 @@
 
 /// Time in which the balancer notices that the process is not ready: two questions a second apart,
 /// and the connections that were on their way.
-constexpr duration balancer_notice{3'500};
+constexpr duration balancer_notice{2'800};
 /// Kept of the grace time for the end of the process itself.
 constexpr duration stop_reserve{400};
 constexpr std::chrono::milliseconds stop_tick{50};
@@ -214,6 +214,7 @@
     const bool grace_over = passed >= shared_.settings.stop_grace - stop_reserve;
     const std::size_t open = callers_->open_requests();
     if (noticed) {
+      shared_.past_balancer_notice = true;
       callers_->close_idle();
     }
     if ((noticed && open == 0) || grace_over) {
--- a/src/gateway/own_answer.cpp
+++ b/src/gateway/own_answer.cpp
@@ -12,7 +12,7 @@
   unsigned status;
 };
 
-constexpr std::array<answer_form, 9> forms = {{
+constexpr std::array<answer_form, 10> forms = {{
     {"no_configuration", 503},
     {"no_route", 404},
     {"unknown_api_key", 401},
@@ -20,6 +20,7 @@
     {"servers_refused", 503},
     {"overloaded", 503},
     {"time_over_unsent", 503},
+    {"stopping", 503},
     {"server_failed", 502},
     {"time_over", 504},
 }};
--- a/src/gateway/own_answer.h
+++ b/src/gateway/own_answer.h
@@ -21,6 +21,7 @@
   servers_refused,
   overloaded,
   time_over_unsent,
+  stopping,
   // May have run.
   server_failed,
   time_over,
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -65,7 +65,10 @@
 
 asio::awaitable<void> request_run::run(net::http_request received) {
   request_ = shared_.wire.decode_request(std::move(received));
-  const std::optional<own_answer> refusal = resolve();
+  std::optional<own_answer> refusal = resolve();
+  if (!refusal && comes_too_late()) {
+    refusal = own_answer::stopping;
+  }
   if (refusal) {
     co_await refuse(*refusal);
   } else {
@@ -99,6 +102,11 @@
       match);
 }
 
+// A stream that begins after the balancer has noticed the stop may not end within the grace time.
+bool request_run::comes_too_late() const {
+  return shared_.past_balancer_notice && route_->kind == routes::repeatability::event_stream;
+}
+
 void request_run::prepare() {
   constexpr std::uint64_t draws = 10'000;
   const std::uint64_t drawn = stable_hash(request_.id) % draws;
@@ -345,24 +353,32 @@
   }
   finish_sending(dispatch::send_end::completed);
   outcome_ = "delivered";
+  // A caller that has all events but not the end gets an answer without events.
+  const bool started = co_await start_answer(answer.head());
   const auto finished = co_await writer_.finish();
-  if (!finished) {
+  if (!started || !finished) {
     outcome_ = "caller_left";
   }
   co_return next_step::done;
 }
 
+asio::awaitable<bool> request_run::start_answer(const net::http_response& head) {
+  if (head_sent_) {
+    co_return true;
+  }
+  head_sent_ = true;
+  status_ = head.status;
+  first_event_after_ = shared_.time.now() - arrived_;
+  net::header_list headers = shared_.wire.headers_for_caller(head);
+  const auto started = co_await writer_.start(head.status, std::move(headers));
+  co_return started.has_value();
+}
+
 asio::awaitable<bool> request_run::forward(const net::http_response& head,
                                            const event_batch& batch) {
-  if (!head_sent_) {
-    head_sent_ = true;
-    status_ = head.status;
-    first_event_after_ = shared_.time.now() - arrived_;
-    net::header_list headers = shared_.wire.headers_for_caller(head);
-    const auto started = co_await writer_.start(head.status, std::move(headers));
-    if (!started) {
-      co_return false;
-    }
+  const bool started = co_await start_answer(head);
+  if (!started) {
+    co_return false;
   }
   events_ += batch.count;
   const auto written = co_await writer_.write(batch.text);
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -36,6 +36,7 @@
 
   // \returns why there is no route, or nothing where one was found.
   [[nodiscard]] std::optional<own_answer> resolve();
+  [[nodiscard]] bool comes_too_late() const;
   void prepare();
   [[nodiscard]] bool may_run_again() const;
   [[nodiscard]] duration left() const;
@@ -49,6 +50,7 @@
   boost::asio::awaitable<next_step> deliver(net::response_stream& answer);
   boost::asio::awaitable<next_step> deliver_whole(net::response_stream& answer);
   boost::asio::awaitable<next_step> deliver_events(net::response_stream& answer);
+  boost::asio::awaitable<bool> start_answer(const net::http_response& head);
   boost::asio::awaitable<bool> forward(const net::http_response& head, const event_batch& batch);
   next_step after_failure(const net::net_failure& why);
   boost::asio::awaitable<void> answer_without_server();
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -47,6 +47,8 @@
   std::unique_ptr<observe::metrics> metrics;
   std::unique_ptr<net::http_client> http;
   bool stopping = false;
+  // The process stops, and the balancer sends it no new connections any more.
+  bool past_balancer_notice = false;
 };
 
 }  // namespace hawthornnotch::gateway::internal
--- a/tests/gateway/whole_path_test.cpp
+++ b/tests/gateway/whole_path_test.cpp
@@ -129,6 +129,35 @@
   CPPUNIT_ASSERT(whole.received().back().header("Last-Event-Id") == "2");
 }
 
+TEST_THAT(gateway, ends_a_stream_that_goes_on_behind_its_last_event) {
+  gateway_world world;
+  world.add_server("s1", "forecast", stream_four);
+  world.start();
+  http_request request = make_request("POST", "/draft/1", "r1");
+  request.headers.emplace_back("X-Prompt-Prefix", "1:500,7:100");
+  request.headers.emplace_back("Last-Event-Id", "4");
+  const http_response answer = world.must_answer(std::move(request));
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+  CPPUNIT_ASSERT_EQUAL(std::string(), answer.body);
+}
+
+TEST_THAT(gateway, begins_no_stream_when_too_little_time_is_left_to_stop) {
+  gateway_world world;
+  fake_server& server = world.add_server("s1", "forecast", stream_four);
+  world.start();
+  world.gateway().begin_stop();
+  unsigned status = 200;
+  for (int number = 0; status == 200; ++number) {
+    http_request request = make_request("POST", "/draft/1", "r" + std::to_string(number));
+    request.headers.emplace_back("X-Prompt-Prefix", "1:500,7:100");
+    request.headers.emplace_back("Connection", "close");
+    const auto answer = world.call(std::move(request));
+    status = answer ? answer->status : 0;
+  }
+  CPPUNIT_ASSERT(status == 503 || status == 0);
+  CPPUNIT_ASSERT(!server.received().empty());
+}
+
 TEST_THAT(gateway, follows_the_configuration_and_never_goes_back) {
   gateway_world world;
   world.add_server("s1", "stations", answer_whole);
