Log to standard output within bounds, measure latencies in histograms, announce entry VMs

Every decision on a request has a line (request_sent, send_failed, server_refused, retry_denied, request), every change of belief too (config_applied, servers_changed, peer_found, peer_lost, dependency_lost, dependency_regained). A leased key names each entry VM in the store, for when the seeds are out of date. The first two VMs in order watch by short calls, the others by long ones.

--- a/include/hawthornnotch/gateway/gateway.h
+++ b/include/hawthornnotch/gateway/gateway.h
@@ -16,9 +16,11 @@
 
 namespace hawthornnotch::gateway {
 
-/// Makes the client of the platform's store.
+/// Makes the client of the platform's store.  `watch_wait` is asked before each call of a watch for
+/// how long the store may keep it waiting.
 using store_factory = std::function<std::unique_ptr<platform::client>(
-    boost::asio::any_io_executor executor, const endpoint& store, net::http_client& http)>;
+    boost::asio::any_io_executor executor, const endpoint& store, net::http_client& http,
+    std::function<duration()> watch_wait)>;
 
 /// Runs on one thread: an entry VM has a fraction of a core.
 ///
--- a/include/hawthornnotch/observe/log.h
+++ b/include/hawthornnotch/observe/log.h
@@ -1,5 +1,5 @@
 /// \file
-/// Structured log lines on standard error, one for each event.
+/// Structured log lines on standard output, one for each event.
 #ifndef HAWTHORNNOTCH_OBSERVE_LOG_H_
 #define HAWTHORNNOTCH_OBSERVE_LOG_H_
 
@@ -25,8 +25,8 @@
 };
 
 /// Starts logging for this process; a second call replaces the settings.  Lines are written by a
-/// thread of the log's own: a blocked reader of standard error never blocks the caller, lines
-/// beyond a bounded backlog are dropped.
+/// thread of the log's own: a blocked reader of standard output never blocks the caller, lines
+/// beyond a bounded backlog are dropped and counted.
 /// \param program name of the program, \param vm identity of the VM: both stand in every line.
 void start_logging(log_settings settings, std::string_view program, std::string_view vm);
 
@@ -36,8 +36,13 @@
 /// \returns whether an event of this level would be written.
 bool is_logged(level severity);
 
-/// Writes one event; costs one atomic read where the level is below the threshold or logging has
-/// not been started.  Never pass prompt or answer text.  Thread safe.
+/// \returns lines dropped since the start because the backlog was full.
+std::uint64_t dropped_lines();
+
+/// Writes one event.  Lines of one event beyond a rate are left out; the next one that is written
+/// is followed by a line `lines_suppressed` that says how many.  Costs one atomic read where the
+/// level is below the threshold or logging has not been started.  Never pass prompt or answer text.
+/// Thread safe.
 void log_event(level severity, std::string_view event, std::initializer_list<field> fields);
 
 /// Who writes a line and when.
--- a/include/hawthornnotch/observe/metrics.h
+++ b/include/hawthornnotch/observe/metrics.h
@@ -36,6 +36,8 @@
   virtual void gauge(std::string_view name, label_list labels, double value) = 0;
   /// Adds one value to a summary, in milliseconds by custom.
   virtual void observe(std::string_view name, label_list labels, double value) = 0;
+  /// Adds one time in milliseconds to a histogram.
+  virtual void time(std::string_view name, label_list labels, double ms) = 0;
   /// \returns all series in text exposition format 0.0.4.  Summaries have the quantiles 0.5, 0.95
   /// and 0.99 since the process's start, sum and count.
   [[nodiscard]] virtual std::string exposition() const = 0;
--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -59,6 +59,10 @@
 
 enum class codec_failure : std::uint8_t { malformed };
 
+/// \returns what an entry VM says of itself as JSON.
+std::string encode_peer(const peer& about);
+result<peer, codec_failure> decode_peer(std::string_view text);
+
 /// \returns the message as JSON.
 std::string encode(const exchange_message& message);
 /// \returns the message, or `malformed` for anything that `encode` does not write.
--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -27,6 +27,12 @@
   duration work_lifetime{2'000};
 };
 
+/// Peers that came to life or died since the last look.
+struct peer_changes {
+  std::vector<std::string> found;
+  std::vector<std::string> lost;
+};
+
 /// Merges what peers say of themselves and of each other.  The load pattern it answers: VMs that
 /// are killed, replaced and cut off at any time, also all at once.
 ///
@@ -41,6 +47,8 @@
 
   /// A message heard from a peer, in either direction.
   void heard(const exchange_message& message, time_point now);
+  /// A peer's entry in the platform's store.
+  void heard_of(const peer& about, time_point now) { learn(about, false, now); }
   /// An exchange with this address failed.
   void contact_failed(const endpoint& address, time_point now);
   /// This process leaves; peers are told with the next exchange.
@@ -55,6 +63,8 @@
   [[nodiscard]] std::vector<endpoint> live_addresses(time_point now) const;
   /// \returns live entry VMs, this one included; never 0.
   [[nodiscard]] std::size_t live_count(time_point now) const;
+  /// \returns what changed since the last call.
+  [[nodiscard]] peer_changes take_changes(time_point now);
   /// \returns how many live entry VMs come before this one in the order in which they read the
   /// store; 0 for the first.
   [[nodiscard]] std::size_t reading_rank(time_point now) const;
@@ -73,6 +83,8 @@
     time_point work_at;
     std::vector<server_work> work;
     time_point avoid_until;
+    /// As last given by `take_changes`.
+    bool shown_alive = false;
   };
 
   known_peer* learn(const peer& about, bool first_hand, time_point now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,6 +16,7 @@
 #include "request_run.h"
 #include "state.h"
 #include "store_follower.h"
+#include "store_registration.h"
 
 namespace hawthornnotch::gateway {
 
@@ -38,6 +39,11 @@
 constexpr std::int64_t idle_factor = 2;
 /// Descriptors kept for files, listeners, the store and peers.
 constexpr std::uint32_t reserved_descriptors = 264;
+/// The first entry VMs in order watch the store by short calls, so that one of them soon notices a
+/// connection that went silent; the others hear of a change from them.
+constexpr std::size_t quick_watchers = 2;
+constexpr duration quick_watch_wait{1'500};
+constexpr duration slow_watch_wait{6'000};
 constexpr std::size_t idle_per_server = 64;
 constexpr duration idle_lifetime{30'000};
 constexpr duration unstated_idle_lifetime{2'000};
@@ -75,9 +81,11 @@
 
   status<net::net_failure> listen(const store_factory& make_store) {
     const auto executor = context_.get_executor();
-    store_ = make_store(executor, shared_.settings.store, *shared_.http);
+    store_ = make_store(executor, shared_.settings.store, *shared_.http,
+                        [this] { return watch_wait(); });
     config_.emplace(shared_, known_, *store_, executor);
     list_.emplace(shared_, known_, *store_, executor);
+    registration_.emplace(shared_, *store_, executor);
     const gateway_settings& settings = shared_.settings;
     const net::server_limits limits = caller_limits();
     auto listen_at = [&](const endpoint& at, net::server_limits with, net::request_handler handler,
@@ -118,6 +126,7 @@
   bool run() override {
     config_->start();
     list_->start();
+    registration_->start();
     link_.start();
     context_.run();
     return finished_all_;
@@ -183,11 +192,39 @@
   asio::awaitable<void> answer_metrics(net::http_request /*request*/,
                                        net::response_writer& writer) {
     net::http_response response;
+    show_gauges();
     response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
     response.body = shared_.metrics->exposition();
     std::ignore = co_await writer.send(std::move(response));
   }
 
+  [[nodiscard]] duration watch_wait() const {
+    const bool reads_first = shared_.peers.reading_rank(shared_.time.now()) < quick_watchers;
+    return reads_first ? quick_watch_wait : slow_watch_wait;
+  }
+
+  void show_gauges() {
+    observe::metrics& shown = *shared_.metrics;
+    const time_point now = shared_.time.now();
+    const auto age = shared_.servers.age(now);
+    shown.gauge("hawthornnotch_config_version", {}, static_cast<double>(shared_.config.version()));
+    shown.gauge("hawthornnotch_list_age_ms", {}, age ? static_cast<double>(age->ms) : -1.0);
+    shown.gauge("hawthornnotch_live_entry_vms", {},
+                static_cast<double>(shared_.peers.live_count(now)));
+    shown.gauge("hawthornnotch_open_requests", {}, static_cast<double>(callers_->open_requests()));
+    shown.gauge("hawthornnotch_open_connections", {},
+                static_cast<double>(callers_->open_connections()));
+    shown.gauge("hawthornnotch_dropped_log_lines", {},
+                static_cast<double>(observe::dropped_lines()));
+    for (const dispatch::server_summary& server : shared_.dispatcher.summary()) {
+      shown.gauge("hawthornnotch_server_running", {{"server", server.id}}, server.running);
+      shown.gauge("hawthornnotch_server_prefill_tokens", {{"server", server.id}},
+                  static_cast<double>(server.prefill_tokens));
+      shown.gauge("hawthornnotch_server_failure_share", {{"server", server.id}},
+                  server.failure_share);
+    }
+  }
+
   void on_change() {
     if (callers_) {
       callers_->update_limits(caller_limits());
@@ -238,6 +275,7 @@
   std::unique_ptr<platform::client> store_;
   std::optional<config_follower> config_;
   std::optional<list_follower> list_;
+  std::optional<store_registration> registration_;
   std::unique_ptr<net::http_server> callers_;
   std::unique_ptr<net::http_server> readiness_;
   std::unique_ptr<net::http_server> peers_;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -34,6 +34,7 @@
   if (next) {
     exchange_with(*next);
   }
+  log_changes();
   timer_.expires_after(exchange_period);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
@@ -42,6 +43,16 @@
   });
 }
 
+void peer_link::log_changes() {
+  const relay::peer_changes changes = shared_.peers.take_changes(shared_.time.now());
+  for (const std::string& vm : changes.found) {
+    observe::log_event(observe::level::info, "peer_found", {{"peer", vm}});
+  }
+  for (const std::string& vm : changes.lost) {
+    observe::log_event(observe::level::warning, "peer_lost", {{"peer", vm}});
+  }
+}
+
 void peer_link::tell_all() {
   std::size_t told = 0;
   for (const endpoint& address : shared_.peers.live_addresses(shared_.time.now())) {
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -26,6 +26,7 @@
 
  private:
   void tick();
+  void log_changes();
   void exchange_with(const endpoint& to);
   boost::asio::awaitable<void> exchange(endpoint to);
   void take(const relay::exchange_message& message);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -213,6 +213,7 @@
 asio::awaitable<request_run::next_step> request_run::send_once(const dispatch::placement& to) {
   tried_.push_back(to.server.id);
   chosen_ = to;
+  log_sending(to);
   send_order order;
   order.server_id = to.server.id;
   order.time_left = left();
@@ -438,13 +439,36 @@
   return wait;
 }
 
+void request_run::log_sending(const dispatch::placement& to) const {
+  const time_point now = shared_.time.now();
+  log_event(level::info, "request_sent",
+            {{"request_id", request_.id},
+             {"service", service_},
+             {"server", to.server.id},
+             {"send", tried_.size()},
+             {"resume_after", splitter_.last_id().value_or(0)},
+             {"rank", to.rank},
+             {"candidates", to.candidates},
+             {"unread_tokens", to.uncached_tokens},
+             {"server_running", to.running},
+             {"expected_ms", static_cast<std::int64_t>(to.expected_ms)},
+             {"loss", to.loss},
+             {"time_left_ms", left().ms},
+             {"list_revision", shared_.servers.newest() ? shared_.servers.newest()->revision : 0},
+             {"list_age_ms", shared_.servers.age(now).value_or(duration{-1}).ms}});
+}
+
 void request_run::log_end() {
   const duration total = shared_.time.now() - arrived_;
   const std::string_view route = route_ != nullptr ? std::string_view(route_->name) : "";
   shared_.metrics->count("hawthornnotch_requests_total",
                          {{"outcome", outcome_}, {"service", service_}});
-  shared_.metrics->observe("hawthornnotch_request_ms", {{"service", service_}},
-                           static_cast<double>(total.ms));
+  shared_.metrics->time("hawthornnotch_request_ms", {{"service", service_}},
+                        static_cast<double>(total.ms));
+  if (first_event_after_) {
+    shared_.metrics->time("hawthornnotch_first_event_ms", {{"service", service_}},
+                          static_cast<double>(first_event_after_->ms));
+  }
   log_event(level::info, "request",
             {{"request_id", request_.id},
              {"route", route},
@@ -456,11 +480,7 @@
              {"sends", tried_.size()},
              {"events", events_},
              {"prompt_tokens", request_.prompt.prompt_tokens},
-             {"unread_tokens", chosen_.uncached_tokens},
-             {"rank", chosen_.rank},
              {"expected_ms", static_cast<std::int64_t>(chosen_.expected_ms)},
-             {"loss", chosen_.loss},
-             {"server_running", chosen_.running},
              {"first_ms", first_event_after_.value_or(duration{-1}).ms},
              {"total_ms", total.ms},
              {"config_version", table_ ? table_->version() : 0}});
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -59,6 +59,7 @@
   [[nodiscard]] net::exchange_limits limits_for(const dispatch::placement& to) const;
   [[nodiscard]] bool repeat_allowed();
   void finish_sending(dispatch::send_end end);
+  void log_sending(const dispatch::placement& to) const;
   void log_end();
 
   state& shared_;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -28,6 +28,17 @@
 
 std::chrono::milliseconds to_chrono(duration span) { return std::chrono::milliseconds(span.ms); }
 
+std::string joined(const std::vector<std::string>& names) {
+  std::string out;
+  for (const std::string& name : names) {
+    out += out.empty() ? "" : ",";
+    out += name;
+  }
+  return out;
+}
+
+}  // namespace
+
 std::string_view to_string(platform::failure_kind kind) {
   switch (kind) {
     case platform::failure_kind::unreachable:
@@ -46,17 +57,6 @@
   return "";
 }
 
-std::string joined(const std::vector<std::string>& names) {
-  std::string out;
-  for (const std::string& name : names) {
-    out += out.empty() ? "" : ",";
-    out += name;
-  }
-  return out;
-}
-
-}  // namespace
-
 void knowledge::offer_config(std::string text, std::string_view source) {
   auto decoded = shared_.wire.decode_config(text);
   if (!decoded) {
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -27,6 +27,9 @@
   std::function<void()> changed_;
 };
 
+// \returns the failure's name for logs.
+std::string_view to_string(platform::failure_kind kind);
+
 // Pauses between tries while a dependency fails, and logs when it is lost and regained.
 class dependency {
  public:
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -3,12 +3,14 @@
 #include <array>
 #include <atomic>
 #include <charconv>
+#include <cmath>
 #include <map>
 #include <mutex>
 #include <variant>
 
 #include "hawthornnotch/base/hash.h"
 #include "hawthornnotch/base/result.h"
+#include "latency_histogram.h"
 #include "summary.h"
 
 namespace hawthornnotch::observe {
@@ -24,7 +26,7 @@
 struct gauge_value {
   double value = 0;
 };
-using series = std::variant<counter, gauge_value, summary>;
+using series = std::variant<counter, gauge_value, summary, latency_histogram>;
 // Series of one metric name, by the text of their labels.
 using family = std::map<std::string, series, std::less<>>;
 
@@ -80,7 +82,8 @@
 std::string_view type_name(const series& what) {
   return std::visit(overloaded{[](const counter&) { return "counter"; },
                                [](const gauge_value&) { return "gauge"; },
-                               [](const summary&) { return "summary"; }},
+                               [](const summary&) { return "summary"; },
+                               [](const latency_histogram&) { return "histogram"; }},
                     what);
 }
 
@@ -95,12 +98,26 @@
   append_sample(out, std::string(name) + "_count", labels, std::to_string(values.count()));
 }
 
+void append_histogram(std::string& out, std::string_view name, const std::string& labels,
+                      const latency_histogram& times) {
+  const std::string separator = labels.empty() ? "" : ",";
+  const std::string bucket_name = std::string(name) + "_bucket";
+  times.for_each_bucket([&](double upper_ms, std::uint64_t count) {
+    const std::string bound = std::isinf(upper_ms) ? "+Inf" : number(upper_ms);
+    append_sample(out, bucket_name, labels + separator + "le=\"" + bound + "\"",
+                  std::to_string(count));
+  });
+  append_sample(out, std::string(name) + "_sum", labels, number(times.sum()));
+  append_sample(out, std::string(name) + "_count", labels, std::to_string(times.count()));
+}
+
 void append_series(std::string& out, std::string_view name, const std::string& labels,
                    const series& what) {
   const overloaded append{
       [&](const counter& held) { append_sample(out, name, labels, std::to_string(held.total)); },
       [&](const gauge_value& held) { append_sample(out, name, labels, number(held.value)); },
-      [&](const summary& held) { append_summary(out, name, labels, held); }};
+      [&](const summary& held) { append_summary(out, name, labels, held); },
+      [&](const latency_histogram& held) { append_histogram(out, name, labels, held); }};
   std::visit(append, what);
 }
 
@@ -117,6 +134,9 @@
   void observe(std::string_view name, label_list labels, double value) override {
     change<summary>(name, labels, [value](summary& held) { held.add(value); });
   }
+  void time(std::string_view name, label_list labels, double ms) override {
+    change<latency_histogram>(name, labels, [ms](latency_histogram& held) { held.add(ms); });
+  }
 
   [[nodiscard]] std::string exposition() const override {
     std::string out;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -111,6 +111,21 @@
 
 }  // namespace
 
+std::string encode_peer(const peer& about) { return json::serialize(to_json(about)); }
+
+result<peer, codec_failure> decode_peer(std::string_view text) {
+  const auto object = parse_object(text);
+  if (!object) {
+    return failed{codec_failure::malformed};
+  }
+  bool good = true;
+  peer decoded = read_peer(*object, good);
+  if (!good) {
+    return failed{codec_failure::malformed};
+  }
+  return decoded;
+}
+
 std::string encode(const exchange_message& message) {
   json::object out{{"from", to_json(message.from)},
                    {"config_version", message.config_version},
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -118,6 +118,18 @@
 
 std::size_t peer_set::live_count(time_point now) const { return live_addresses(now).size() + 1; }
 
+peer_changes peer_set::take_changes(time_point now) {
+  peer_changes changes;
+  for (auto& [vm, known] : peers_) {
+    const bool is_alive = alive(known, now);
+    if (is_alive != known.shown_alive) {
+      (is_alive ? changes.found : changes.lost).push_back(vm);
+    }
+    known.shown_alive = is_alive;
+  }
+  return changes;
+}
+
 std::size_t peer_set::reading_rank(time_point now) const {
   const std::uint64_t own = stable_hash(self_.vm);
   std::size_t rank = 0;
--- a/tests/gateway/world.cpp
+++ b/tests/gateway/world.cpp
@@ -152,6 +152,13 @@
     return response;
   }
   json::object body{{"CurrentRev", revision_}};
+  if (request.method == "POST") {
+    body["Lease"] = 1;
+    body["TtlMs"] = 12'000;
+    body["Revision"] = ++revision_;
+    response.body = json::serialize(body);
+    return response;
+  }
   if (begins_with(request.target, "/api/kv-key")) {
     const std::string key = query_value(request.target, "Key");
     const auto found = items_.find(key);
