--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -144,13 +144,15 @@
 
 void peer_link::take_list(const relay::exchange_message& message) {
   const auto& own = shared_.servers.newest();
-  const bool newer = message.list_revision > (own ? own->revision : 0);
-  if (!newer) {
-    return;
-  }
   servers::list_reading reading;
   reading.revision = message.list_revision;
   reading.read_at = shared_.time.now() - message.list_age;
+  // The store's revision stands still while nothing changes: then the later reading is newer.
+  const bool newer = !own || reading.revision > own->revision ||
+                     (reading.revision == own->revision && reading.read_at > own->read_at);
+  if (message.list_revision == 0 || !newer) {
+    return;
+  }
   if (message.list) {
     reading.entries = *message.list;
   } else if (own && servers::digest_of(own->entries) == message.list_digest) {
--- a/tests/gateway/whole_path_test.cpp
+++ b/tests/gateway/whole_path_test.cpp
@@ -196,6 +196,30 @@
   CPPUNIT_ASSERT_EQUAL(200U, world.readiness());
 }
 
+TEST_THAT(gateway, learns_from_a_peer_while_the_store_turns_it_away) {
+  gateway_world first;
+  fake_server& leaving = first.add_server("s1", "stations", answer_whole);
+  fake_server& other = first.add_server("s2", "stations", answer_whole);
+  first.start();
+  gateway_world second;
+  second.store().set_away(true);
+  second.start({first.peers()});
+  CPPUNIT_ASSERT_EQUAL(200U, second.must_answer(make_request("GET", "/read/", "r1")).status);
+  first.list(leaving, "stations", true);
+  int number = 0;
+  second.await([&] {
+    const std::size_t before = other.received().size();
+    constexpr int in_a_row = 12;
+    for (int request = 0; request < in_a_row; ++request) {
+      second.must_answer(make_request("GET", "/read/", "s" + std::to_string(++number)));
+    }
+    return other.received().size() == before + in_a_row;
+  });
+  first.store().put("op/config", usual_config(9, "new-key"));
+  second.await(
+      [&] { return second.must_answer(make_request("GET", "/read/", "t")).status == 401; });
+}
+
 TEST_THAT(gateway, finishes_what_it_has_begun_when_it_stops) {
   gateway_world world;
   world.add_server("s1", "stations", answer_whole);
--- a/tests/gateway/world.cpp
+++ b/tests/gateway/world.cpp
@@ -287,9 +287,10 @@
   store_.put("servers/" + server.id(), server.entry(service, leaving));
 }
 
-void gateway_world::start() {
+void gateway_world::start(std::vector<endpoint> seeds) {
   gateway::gateway_settings settings;
-  settings.vm = "entry-1";
+  settings.vm = seeds.empty() ? "entry-1" : "entry-2";
+  settings.seeds = std::move(seeds);
   settings.failure_domain = "zg-istok";
   const endpoint any_port{"127.0.0.1", 0};
   settings.callers = any_port;
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -123,7 +123,7 @@
                           fake_server::behaviour answers);
   void list(fake_server& server, const std::string& service, bool leaving = false);
   // Starts the gateway and waits until it is ready.
-  void start();
+  void start(std::vector<endpoint> seeds = {});
   result<http_response, net::net_failure> call(http_request request);
   http_response must_answer(http_request request);
   unsigned readiness();
@@ -133,6 +133,7 @@
   fake_store& store() { return store_; }
   loopback& around() { return around_; }
   [[nodiscard]] endpoint callers() const;
+  [[nodiscard]] endpoint peers() const { return {"127.0.0.1", gateway_->peer_port()}; }
 
  private:
   loopback around_;
