--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -340,6 +340,7 @@
     if (batch.count == 0) {
       continue;
     }
+    note_events();
     shared_.dispatcher.events(*sending_, batch.count, shared_.time.now());
     const bool forwarded = co_await forward(answer.head(), batch);
     if (!forwarded) {
@@ -363,6 +364,14 @@
   co_return next_step::done;
 }
 
+void request_run::note_events() {
+  const time_point now = shared_.time.now();
+  if (events_ > 0) {
+    longest_gap_ = std::max(longest_gap_, now - last_events_at_);
+  }
+  last_events_at_ = now;
+}
+
 asio::awaitable<bool> request_run::start_answer(const net::http_response& head) {
   if (head_sent_) {
     co_return true;
@@ -482,6 +491,7 @@
              {"prompt_tokens", request_.prompt.prompt_tokens},
              {"expected_ms", static_cast<std::int64_t>(chosen_.expected_ms)},
              {"first_ms", first_event_after_.value_or(duration{-1}).ms},
+             {"longest_gap_ms", longest_gap_.ms},
              {"total_ms", total.ms},
              {"config_version", table_ ? table_->version() : 0}});
 }
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -50,6 +50,7 @@
   boost::asio::awaitable<next_step> deliver(net::response_stream& answer);
   boost::asio::awaitable<next_step> deliver_whole(net::response_stream& answer);
   boost::asio::awaitable<next_step> deliver_events(net::response_stream& answer);
+  void note_events();
   boost::asio::awaitable<bool> start_answer(const net::http_response& head);
   boost::asio::awaitable<bool> forward(const net::http_response& head, const event_batch& batch);
   next_step after_failure(const net::net_failure& why);
@@ -92,6 +93,8 @@
   unsigned status_ = 0;
   std::uint32_t events_ = 0;
   std::optional<duration> first_event_after_;
+  time_point last_events_at_;
+  duration longest_gap_;
   dispatch::placement chosen_;
 };
 
