Share seen server speeds among entry VMs; exchange mostly within the failure domain

Now each exchange tells the speeds of 16 servers in turn, and what others saw counts until 40 gaps were seen here. List readings may be as old as 0.75 of the time in which a leaving server must be noticed.

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -105,6 +105,10 @@
   void ended(const sending& what, send_end end, time_point now);
   /// Work of other entry VMs, which replaces what was known of it.
   void apply_peer_work(const std::map<std::string, relay::server_work, std::less<>>& work);
+  /// What another entry VM has seen of servers' speed.
+  void apply_peer_paces(std::span<const relay::server_pace> paces, time_point now);
+  /// \returns some of what this process has seen, each time the next in turn, at most `most`.
+  [[nodiscard]] std::vector<relay::server_pace> own_paces(std::size_t most);
   /// Forgets servers that are gone; call after the list changed.
   void forget_gone();
   /// \returns own work by server, for peers.
@@ -126,6 +130,8 @@
   std::string failure_domain_;
   random_source random_;
   std::map<std::string, server_state, std::less<>> states_;
+  /// The last server that `own_paces` gave.
+  std::string last_pace_;
   /// Prompt tokens that a server of usual speed reads in a millisecond.
   double tokens_per_ms_;
 };
--- a/include/hawthornnotch/dispatch/server_state.h
+++ b/include/hawthornnotch/dispatch/server_state.h
@@ -53,6 +53,13 @@
 
 /// Requests, speed, health and cache of one start of a backend server.
 struct server_state {
+  /// Age at which what another entry VM has seen counts half.
+  static constexpr duration pace_half_life{3'000};
+  /// Weight of a mean's starting value: none, next to any sample.
+  static constexpr double no_weight = 0.0001;
+  /// Own gaps between events that tell more than what others have seen.
+  static constexpr std::uint64_t enough_gaps = 40;
+
   /// Start that the state belongs to.
   std::int64_t born_ms = 0;
   /// Own requests sent and not ended.
@@ -66,11 +73,22 @@
   running_quantile usual_gap{0.3};
   /// Time between two events that only few exceed, in ms.
   running_quantile long_gap{0.95};
+  /// The same two times as other entry VMs have seen them.
+  policy::decaying_mean peer_usual_gap{pace_half_life, 0.0, no_weight};
+  policy::decaying_mean peer_long_gap{pace_half_life, 0.0, no_weight};
   /// Time to the whole answer, for servers that are no engines, in ms.
-  policy::decaying_mean answer_ms{duration{3'000}, 0.0, 0.0001};
+  policy::decaying_mean answer_ms{duration{3'000}, 0.0, no_weight};
   server_health health;
   prefix_cache cache;
 
+  /// \returns the time between two events, seen here or else by others; 0 where it is unknown.
+  [[nodiscard]] double known_usual_gap() const {
+    return usual_gap.count() >= enough_gaps ? usual_gap.value() : peer_usual_gap.value();
+  }
+  /// \returns the time between two events that few exceed; 0 where it is unknown.
+  [[nodiscard]] double known_long_gap() const {
+    return long_gap.count() >= enough_gaps ? long_gap.value() : peer_long_gap.value();
+  }
   [[nodiscard]] std::uint32_t all_running() const { return running + peer_running; }
   [[nodiscard]] std::uint64_t all_prefill_tokens() const {
     return prefill_tokens + peer_prefill_tokens;
--- a/include/hawthornnotch/gateway/settings.h
+++ b/include/hawthornnotch/gateway/settings.h
@@ -28,6 +28,8 @@
   std::vector<endpoint> seeds;
   /// Descriptors that the process may open.
   std::uint32_t descriptors = 1024;
+  /// Time after which a backend server that said it leaves may get no new work.
+  duration leave_notice{2'000};
   /// Time from SIGTERM to SIGKILL.
   duration stop_grace{8'000};
   dispatch::retry_budget_settings retries;
--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -38,6 +38,16 @@
   std::uint64_t prefill_tokens = 0;
 };
 
+/// How fast streams of one backend server come, as one entry VM has seen it.
+struct server_pace {
+  std::string server;
+  /// Start of the server that was seen, calendar time in milliseconds.
+  std::int64_t born_ms = 0;
+  /// Time between two events when nothing disturbs the stream, and the time that few exceed, in ms.
+  double usual_gap_ms = 0;
+  double long_gap_ms = 0;
+};
+
 /// One direction of an exchange.
 struct exchange_message {
   peer from;
@@ -50,6 +60,8 @@
   /// `digest_of` its entries.
   std::uint64_t list_digest = 0;
   std::vector<server_work> work;
+  /// Some of what the sender has seen itself.
+  std::vector<server_pace> paces;
   std::vector<peer> peers;
   /// The configuration as the platform holds it, where the receiver was seen to lack it.
   std::optional<std::string> config;
--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -90,6 +90,7 @@
   known_peer* learn(const peer& about, bool first_hand, time_point now);
   void forget_old(time_point now);
   [[nodiscard]] bool alive(const known_peer& known, time_point now) const;
+  [[nodiscard]] std::size_t near_count(time_point now) const;
   [[nodiscard]] bool known_address(const endpoint& address) const;
 
   peer self_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -16,8 +16,6 @@
 constexpr std::uint32_t least_timed_tokens = 2'000;
 /// Weight of one timed prompt in the reading speed.
 constexpr double prefill_learning = 0.05;
-/// Events that tell a server's speed; below, it counts as usual.
-constexpr std::uint64_t least_gaps = 20;
 /// Part of a request's value that is lost when its answer is late.
 constexpr double late_loss = 0.75;
 /// Part of a request's value that reading 1,000 shared tokens again costs: it takes an engine's
@@ -113,8 +111,8 @@
   std::vector<double> gaps;
   gaps.reserve(states_.size());
   for (const auto& [id, state] : states_) {
-    if (state.usual_gap.count() >= least_gaps) {
-      gaps.push_back(state.usual_gap.value());
+    if (state.known_usual_gap() > 0) {
+      gaps.push_back(state.known_usual_gap());
     }
   }
   if (gaps.empty()) {
@@ -126,8 +124,10 @@
 }
 
 double dispatcher::token_ms(const server_state& state, double fleet_gap) const {
-  const bool known = state.usual_gap.count() >= least_gaps && fleet_gap > 0;
-  const double slowness = known ? std::max(state.usual_gap.value() / fleet_gap, 0.25) : 1.0;
+  constexpr double fastest = 0.25;
+  const double gap = state.known_usual_gap();
+  const bool known = gap > 0 && fleet_gap > 0;
+  const double slowness = known ? std::max(gap / fleet_gap, fastest) : 1.0;
   return slowness / tokens_per_ms_;
 }
 
@@ -191,8 +191,7 @@
   out.uncached_tokens = static_cast<std::uint32_t>(shared_unread + own_unread);
   out.expected_ms = waiting + out.uncached_tokens * per_token;
   const double slowness = part_of(out.expected_ms, query.target_latency);
-  const bool gaps_known = state.long_gap.count() >= least_gaps;
-  const double pause = gaps_known ? part_of(state.long_gap.value(), query.target_gap) : 0.0;
+  const double pause = part_of(state.known_long_gap(), query.target_gap);
   const double in_time = (1.0 - exceeds(slowness)) * (1.0 - exceeds(pause));
   constexpr double tokens_per_unit = 1'000.0;
 
@@ -287,6 +286,35 @@
   }
 }
 
+void dispatcher::apply_peer_paces(std::span<const relay::server_pace> paces, time_point now) {
+  for (const relay::server_pace& pace : paces) {
+    const servers::server_entry* server = list_.find(pace.server);
+    if (server == nullptr || server->born_ms != pace.born_ms) {
+      continue;
+    }
+    server_state& state = state_of(*server);
+    state.peer_usual_gap.add(pace.usual_gap_ms, 1.0, now);
+    state.peer_long_gap.add(pace.long_gap_ms, 1.0, now);
+  }
+}
+
+std::vector<relay::server_pace> dispatcher::own_paces(std::size_t most) {
+  std::vector<relay::server_pace> out;
+  auto each = states_.upper_bound(last_pace_);
+  for (std::size_t seen = 0; seen < states_.size() && out.size() < most; ++seen) {
+    if (each == states_.end()) {
+      each = states_.begin();
+    }
+    const server_state& state = each->second;
+    if (state.usual_gap.count() >= server_state::enough_gaps) {
+      out.push_back({each->first, state.born_ms, state.usual_gap.value(), state.long_gap.value()});
+    }
+    last_pace_ = each->first;
+    ++each;
+  }
+  return out;
+}
+
 void dispatcher::forget_gone() {
   for (auto each = states_.begin(); each != states_.end();) {
     const bool gone = list_.find(each->first) == nullptr && each->second.running == 0;
@@ -307,7 +335,7 @@
 std::vector<server_summary> dispatcher::summary() const {
   std::vector<server_summary> out;
   for (const auto& [id, state] : states_) {
-    out.push_back({id, state.all_running(), state.all_prefill_tokens(), state.usual_gap.value(),
+    out.push_back({id, state.all_running(), state.all_prefill_tokens(), state.known_usual_gap(),
                    state.health.failure_share()});
   }
   return out;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,7 +43,7 @@
 /// connection that went silent; the others hear of a change from them.
 constexpr std::size_t quick_watchers = 2;
 constexpr duration quick_watch_wait{1'500};
-constexpr duration slow_watch_wait{6'000};
+constexpr duration slow_watch_wait{25'000};
 constexpr std::size_t idle_per_server = 64;
 constexpr duration idle_lifetime{30'000};
 constexpr duration unstated_idle_lifetime{2'000};
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint64_t most_message_bytes = 16 * 1024 * 1024;
 /// Peers told at once after a change; the others hear it from these.
 constexpr std::size_t most_told_at_once = 8;
+/// Servers whose speed one message tells; the next message goes on with the others.
+constexpr std::size_t paces_in_message = 16;
 constexpr std::string_view exchange_path = "/exchange";
 
 }  // namespace
@@ -116,6 +118,7 @@
     message.list_digest = servers::digest_of(list->entries);
   }
   message.work = shared_.dispatcher.own_work();
+  message.paces = shared_.dispatcher.own_paces(paces_in_message);
   message.peers = shared_.peers.some_peers(now);
   return message;
 }
@@ -135,6 +138,7 @@
 void peer_link::take(const relay::exchange_message& message) {
   const time_point now = shared_.time.now();
   shared_.peers.heard(message, now);
+  shared_.dispatcher.apply_peer_paces(message.paces, now);
   shared_.dispatcher.apply_peer_work(shared_.peers.work_of_peers(now));
   if (message.config) {
     known_.offer_config(*message.config, message.from.vm);
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -9,6 +9,7 @@
 constexpr double ms_per_second = 1'000.0;
 constexpr double longest_seconds = 3'600.0;
 constexpr double most_repeats = 1'000'000.0;
+constexpr integer_range any_notice{100, 3'600'000};
 constexpr integer_range any_descriptors{64, 1'000'000};
 
 duration read_seconds(json_reader& reader, std::string_view key, duration fallback) {
@@ -73,6 +74,7 @@
   read_seeds(reader, settings.seeds);
   settings.descriptors = static_cast<std::uint32_t>(
       reader.integer("descriptors", any_descriptors, std::int64_t{settings.descriptors}));
+  settings.leave_notice = reader.milliseconds("leave_notice_ms", any_notice, settings.leave_notice);
   settings.stop_grace = read_seconds(reader, "stop_grace_s", settings.stop_grace);
   read_retries(reader, settings.retries);
   read_log(reader, settings.log);
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -21,10 +21,10 @@
 /// How often the age of the list is looked at.
 constexpr duration list_tick{100};
 /// Age at which the first entry VM in order reads the list again, and what each further one waits
-/// longer, up to the greatest age: well below the time in which a leaving server must be noticed.
-constexpr duration first_reader_age{800};
-constexpr duration next_reader_wait{250};
-constexpr duration greatest_age{1'500};
+/// longer, up to the greatest age: parts of the time in which a leaving server must be noticed.
+constexpr double first_reader_part = 0.4;
+constexpr double next_reader_part = 0.12;
+constexpr double greatest_part = 0.75;
 
 std::chrono::milliseconds to_chrono(duration span) { return std::chrono::milliseconds(span.ms); }
 
@@ -169,8 +169,9 @@
     : shared_(shared), known_(known), store_(store), timer_(std::move(executor)) {}
 
 duration list_follower::longest_age() const {
-  const auto rank = static_cast<std::int64_t>(shared_.peers.reading_rank(shared_.time.now()));
-  return std::min(first_reader_age + next_reader_wait * rank, greatest_age);
+  const auto rank = static_cast<double>(shared_.peers.reading_rank(shared_.time.now()));
+  const double part = std::min(first_reader_part + next_reader_part * rank, greatest_part);
+  return {static_cast<std::int64_t>(part * static_cast<double>(shared_.settings.leave_notice.ms))};
 }
 
 void list_follower::tick() {
--- a/src/gateway/store_registration.cpp
+++ b/src/gateway/store_registration.cpp
@@ -14,8 +14,8 @@
 
 constexpr std::string_view entry_prefix = "hn/entry/";
 /// A VM that ends without notice is still named in the store for this long.
-constexpr duration lease_time{12'000};
-constexpr duration renewal_period{4'000};
+constexpr duration lease_time{30'000};
+constexpr duration renewal_period{10'000};
 /// How often the store is asked for other entry VMs while none is known, and otherwise.
 constexpr duration alone_period{1'000};
 constexpr duration usual_period{30'000};
@@ -47,8 +47,7 @@
   store_.grant_lease(lease_time, [this](auto lease) {
     if (!lease) {
       const auto why = to_string(lease.last_reason().kind);
-      next_in(renewal_period + store_lease_.failed_now(why, shared_.random),
-              &store_registration::announce);
+      next_in(store_lease_.failed_now(why, shared_.random), &store_registration::announce);
       return;
     }
     write(*lease);
@@ -62,8 +61,7 @@
   store_.transact(std::move(change), [this, lease](auto outcome) {
     if (!outcome) {
       const auto why = to_string(outcome.last_reason().kind);
-      next_in(renewal_period + store_lease_.failed_now(why, shared_.random),
-              &store_registration::announce);
+      next_in(store_lease_.failed_now(why, shared_.random), &store_registration::announce);
       return;
     }
     store_lease_.succeeded();
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 #include <charconv>
+#include <cmath>
 #include <limits>
 
 #include "hawthornnotch/config/json_reader.h"
@@ -33,6 +34,16 @@
   return {{"server", work.server}, {"running", work.running}, {"prefill", work.prefill_tokens}};
 }
 
+// Whole milliseconds are exact enough, and short.
+std::int64_t rounded(double ms) { return std::llround(ms); }
+
+json::object to_json(const server_pace& pace) {
+  return {{"server", pace.server},
+          {"born", pace.born_ms},
+          {"usual", rounded(pace.usual_gap_ms)},
+          {"long", rounded(pace.long_gap_ms)}};
+}
+
 json::object to_json(const servers::server_entry& entry) {
   return {{"id", entry.id},
           {"born", entry.born_ms},
@@ -95,6 +106,16 @@
   return out;
 }
 
+server_pace read_pace(const json::object& object, bool& good) {
+  object_reader reader(object, good);
+  server_pace out;
+  out.server = reader->text("server");
+  out.born_ms = reader->integer("born", any_number);
+  out.usual_gap_ms = static_cast<double>(reader->integer("usual", any_count));
+  out.long_gap_ms = static_cast<double>(reader->integer("long", any_count));
+  return out;
+}
+
 servers::server_entry read_entry(const json::object& object, bool& good) {
   object_reader reader(object, good);
   servers::server_entry out;
@@ -133,6 +154,7 @@
                    {"list_age_ms", message.list_age.ms},
                    {"list_digest", std::to_string(message.list_digest)},
                    {"work", to_array(message.work)},
+                   {"paces", to_array(message.paces)},
                    {"peers", to_array(message.peers)}};
   if (message.config) {
     out["config"] = *message.config;
@@ -161,6 +183,9 @@
     for (const json::object* work : reader->objects("work", true)) {
       out.work.push_back(read_work(*work, good));
     }
+    for (const json::object* pace : reader->objects("paces", true)) {
+      out.paces.push_back(read_pace(*pace, good));
+    }
     for (const json::object* each : reader->objects("peers", true)) {
       out.peers.push_back(read_peer(*each, good));
     }
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -10,9 +10,22 @@
 
 /// Every so many contacts one goes to a seed that is not known as a peer.
 constexpr std::uint64_t seed_turn = 8;
+/// Every so many contacts one goes to any failure domain, where the own one has enough peers: bytes
+/// between failure domains are dear.
+constexpr std::uint64_t far_turn = 3;
+constexpr std::size_t least_near = 4;
 /// A peer that did not answer is passed over for this long.
 constexpr duration avoid_time{1'000};
 
+// In a large fleet only some peers are heard of in time: the others are taken to send alike.
+void extrapolate(std::map<std::string, server_work, std::less<>>& sum, double factor) {
+  for (auto& [server, work] : sum) {
+    work.running = static_cast<std::uint32_t>(work.running * factor);
+    work.prefill_tokens =
+        static_cast<std::uint64_t>(static_cast<double>(work.prefill_tokens) * factor);
+  }
+}
+
 }  // namespace
 
 peer_set::peer_set(peer self, std::vector<endpoint> seeds, peer_set_settings settings)
@@ -77,6 +90,13 @@
                      [&](const auto& each) { return each.second.about.address == address; });
 }
 
+std::size_t peer_set::near_count(time_point now) const {
+  return static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& each) {
+        return each.second.about.failure_domain == self_.failure_domain && alive(each.second, now);
+      }));
+}
+
 std::optional<endpoint> peer_set::next_contact(time_point now, random_source& random) {
   ++contacts_;
   std::vector<endpoint> strangers;
@@ -85,9 +105,11 @@
       strangers.push_back(seed);
     }
   }
+  const bool stay_near = near_count(now) >= least_near && contacts_ % far_turn != 0;
   std::vector<const known_peer*> usable;
   for (const auto& [vm, known] : peers_) {
-    if (!known.about.leaving && now >= known.avoid_until) {
+    const bool near = known.about.failure_domain == self_.failure_domain;
+    if (!known.about.leaving && now >= known.avoid_until && (near || !stay_near)) {
       usable.push_back(&known);
     }
   }
@@ -143,10 +165,14 @@
 
 std::map<std::string, server_work, std::less<>> peer_set::work_of_peers(time_point now) const {
   std::map<std::string, server_work, std::less<>> sum;
+  std::size_t heard = 0;
+  std::size_t living = 0;
   for (const auto& [vm, known] : peers_) {
+    living += alive(known, now) ? 1 : 0;
     if (now - known.work_at > settings_.work_lifetime) {
       continue;
     }
+    ++heard;
     for (const server_work& work : known.work) {
       server_work& into = sum[work.server];
       into.server = work.server;
@@ -154,6 +180,9 @@
       into.prefill_tokens += work.prefill_tokens;
     }
   }
+  if (heard > 0 && living > heard) {
+    extrapolate(sum, static_cast<double>(living) / static_cast<double>(heard));
+  }
   return sum;
 }
 
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -166,6 +166,42 @@
   CPPUNIT_ASSERT(chosen->server.id != home.server.id);
 }
 
+TEST_THAT(dispatcher, goes_by_the_speeds_that_other_entry_vms_have_seen) {
+  fleet_case fleet(2);
+  dispatcher first(fleet.list, "zg-istok", 1);
+  dispatcher second(fleet.list, "zg-istok", 2);
+  const auto prefixes = prompt_about(7, 1);
+  const placement home = fleet.choose(first, prefixes);
+  sending sent = first.sent(home, prefixes, fleet.now);
+  for (int event = 0; event < 100; ++event) {
+    fleet.now = fleet.now + 700_ms;
+    first.events(sent, 1, fleet.now);
+  }
+  CPPUNIT_ASSERT_EQUAL(home.server.id, fleet.choose(second, prefixes).server.id);
+  second.apply_peer_paces(first.own_paces(10), fleet.now);
+  CPPUNIT_ASSERT(fleet.choose(second, prefixes).server.id != home.server.id);
+}
+
+TEST_THAT(dispatcher, tells_the_speeds_of_all_servers_in_turn) {
+  fleet_case fleet(5);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  for (const servers::server_entry* server : fleet.list.serving("forecast")) {
+    placement chosen;
+    chosen.server = *server;
+    sending sent = entry.sent(chosen, prompt_about(1, 1), fleet.now);
+    for (int event = 0; event < 50; ++event) {
+      entry.events(sent, 1, fleet.now);
+    }
+  }
+  std::set<std::string> told;
+  for (int message = 0; message < 3; ++message) {
+    for (const relay::server_pace& pace : entry.own_paces(2)) {
+      told.insert(pace.server);
+    }
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{5}, told.size());
+}
+
 TEST_THAT(retry_budget, allows_a_part_of_the_requests_and_a_share_of_the_slack) {
   retry_budget_settings settings;
   settings.ratio = 0.2;
