Leave failure domains that can't be reached; spend no retry where nothing was sent

The share of sendings to a failure domain without a connection now counts as loss, for 3 s after the last one. Tests: dispatcher::leaves_a_failure_domain_that_is_cut_off_and_comes_back_to_it and gateway::spends_no_retry_where_nothing_was_sent, both red before.

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -61,6 +61,7 @@
 /// One sending of a request, from `sent` to `ended`.
 struct sending {
   std::string server;
+  std::string failure_domain;
   std::int64_t born_ms = 0;
   std::uint32_t uncached_tokens = 0;
   std::vector<prompt_prefix> prefixes;
@@ -69,6 +70,16 @@
   bool first_event_seen = false;
 };
 
+/// How sendings to one failure domain went: when its links are cut, each server there would otherwise
+/// have to fail by itself before it is left.
+struct reachability {
+  /// Age at which a connection or its absence counts half.
+  static constexpr duration half_life{1'500};
+  static constexpr double prior_weight = 1.0;
+  policy::decaying_mean missing{half_life, 0.0, prior_weight};
+  time_point last_missing;
+};
+
 /// Shown in logs and metrics.
 struct server_summary {
   std::string id;
@@ -124,12 +135,16 @@
   void weigh_engine(const placement_query& query, const server_state& state, std::uint32_t rank,
                     double fleet_gap, placement& out) const;
   void weigh_service(const placement_query& query, const server_state& state, placement& out) const;
+  void learn_reachability(const sending& what, send_end end, time_point now);
+  [[nodiscard]] double unreachable_share(std::string_view failure_domain, time_point now) const;
   void learn_prefill(const sending& what, const server_state& state, time_point now);
 
   const servers::server_list& list_;
   std::string failure_domain_;
   random_source random_;
   std::map<std::string, server_state, std::less<>> states_;
+  /// Share of recent sendings to each failure domain that got no connection.
+  std::map<std::string, reachability, std::less<>> domains_;
   /// The last server that `own_paces` gave.
   std::string last_pace_;
   /// Prompt tokens that a server of usual speed reads in a millisecond.
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -16,6 +16,7 @@
 [ -z "$sources" ] && exit 0
 echo "$sources" | xargs clang-format --dry-run --Werror || exit 1
 scripts/check_awaits.sh || exit 1
+scripts/check_wire_names.sh || exit 1
 [ -z "$units" ] && exit 0
 echo "$units" | xargs -P "${JOBS:-$(nproc)}" -n 1 clang-tidy --quiet -p "$folder" \
   --extra-arg=-Wno-unknown-warning-option 2>/dev/null
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -35,6 +35,8 @@
 constexpr double slow_loss = 0.1;
 /// Loss by an answer from another failure domain.
 constexpr double other_domain_loss = 0.005;
+/// Time after which a failure domain that could not be reached is tried again.
+constexpr duration domain_retry{3'000};
 /// Random part of a loss, so that entry VMs with equal knowledge spread.
 constexpr double spread_loss = 0.005;
 /// Time of an answer of a service that is no engine, assumed until one was timed, in ms.
@@ -160,6 +162,7 @@
     } else {
       weigh_service(query, state, next);
     }
+    next.loss += unreachable_share(server.failure_domain, query.now);
     next.loss += random_.unit() * spread_loss;
     const bool is_avoided = state.health.avoided(query.now);
     const bool better = !found || (best_avoided && !is_avoided) ||
@@ -222,6 +225,7 @@
   state.cache.used(prefixes);
   sending out;
   out.server = chosen.server.id;
+  out.failure_domain = chosen.server.failure_domain;
   out.born_ms = chosen.server.born_ms;
   out.uncached_tokens = chosen.uncached_tokens;
   out.prefixes = std::move(prefixes);
@@ -261,7 +265,26 @@
   tokens_per_ms_ += prefill_learning * (speed - tokens_per_ms_);
 }
 
+void dispatcher::learn_reachability(const sending& what, send_end end, time_point now) {
+  if (end == send_end::abandoned) {
+    return;
+  }
+  reachability& domain = domains_[what.failure_domain];
+  const bool missing = end == send_end::not_connected;
+  domain.missing.add(missing ? 1.0 : 0.0, 1.0, now);
+  if (missing) {
+    domain.last_missing = now;
+  }
+}
+
+double dispatcher::unreachable_share(std::string_view failure_domain, time_point now) const {
+  const auto found = domains_.find(failure_domain);
+  const bool lately = found != domains_.end() && now - found->second.last_missing < domain_retry;
+  return lately ? found->second.missing.value() : 0.0;
+}
+
 void dispatcher::ended(const sending& what, send_end end, time_point now) {
+  learn_reachability(what, end, now);
   server_state* state = state_of(what);
   if (state == nullptr) {
     return;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -21,9 +21,7 @@
 constexpr duration connect_timeout{300};
 /// Bytes that a server does not acknowledge for this long end the connection.
 constexpr duration unacknowledged_timeout{1'500};
-/// Longest silence inside a stream before it goes on elsewhere, and the least that is waited for
-/// its first event.
-constexpr duration stream_silence{1'500};
+/// The least that is waited for a stream's next event before it goes on elsewhere.
 constexpr duration least_first_event{2'500};
 /// How often the expected time to the first event may pass before the server counts as silent.
 constexpr std::int64_t expected_factor = 4;
@@ -49,10 +47,10 @@
 }  // namespace
 
 request_run::request_run(state& shared, net::response_writer& writer,
-                         asio::any_io_executor executor)
+                         const asio::any_io_executor& executor)
     : shared_(shared),
       writer_(writer),
-      timer_(std::move(executor)),
+      timer_(executor),
       breaker_(std::make_shared<net::exchange_breaker>()),
       alive_(std::make_shared<bool>(true)),
       arrived_(shared.time.now()),
@@ -161,8 +159,7 @@
     query.tried = tried_;
     query.now = shared_.time.now();
     auto chosen = shared_.dispatcher.choose(query);
-    const bool is_repeat = !tried_.empty();
-    if (!chosen || (is_repeat && !repeat_allowed())) {
+    if (!chosen || (arrived_somewhere_ && !repeat_allowed())) {
       break;
     }
     const next_step next = co_await send_once(*chosen);
@@ -250,6 +247,7 @@
   if (unsent) {
     return next_step::may_repeat;
   }
+  arrived_somewhere_ = true;
   ++runs_;
   const bool repeat = may_run_again() && runs_ < route_->max_attempts;
   return repeat ? next_step::may_repeat : next_step::must_end;
@@ -264,6 +262,7 @@
 
 asio::awaitable<request_run::next_step> request_run::deliver(net::response_stream& answer) {
   const answer_facts facts = shared_.wire.decode_answer(answer.head());
+  arrived_somewhere_ = true;
   if (facts.not_run) {
     finish_sending(dispatch::send_end::refused);
     log_event(
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -23,7 +23,8 @@
 // or if nothing was sent.  Ownership: lives in the coroutine of its connection.
 class request_run {
  public:
-  request_run(state& shared, net::response_writer& writer, boost::asio::any_io_executor executor);
+  request_run(state& shared, net::response_writer& writer,
+              const boost::asio::any_io_executor& executor);
   ~request_run();
   request_run(const request_run&) = delete;
   request_run& operator=(const request_run&) = delete;
@@ -85,6 +86,8 @@
   event_splitter splitter_;
   // Servers that may have run the request.
   std::uint32_t runs_ = 0;
+  // A server has seen the request: from then on, sending it again is a repeat.
+  bool arrived_somewhere_ = false;
   bool head_sent_ = false;
   bool caller_left_ = false;
   bool time_over_ = false;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -115,8 +115,8 @@
 }
 
 config_follower::config_follower(state& shared, knowledge& known, platform::client& store,
-                                 asio::any_io_executor executor)
-    : shared_(shared), known_(known), store_(store), timer_(std::move(executor)) {}
+                                 const asio::any_io_executor& executor)
+    : shared_(shared), known_(known), store_(store), timer_(executor) {}
 
 void config_follower::read() {
   store_.read(std::string(shared_.wire.config_key()), [this](auto answer) {
@@ -165,8 +165,8 @@
 }
 
 list_follower::list_follower(state& shared, knowledge& known, platform::client& store,
-                             asio::any_io_executor executor)
-    : shared_(shared), known_(known), store_(store), timer_(std::move(executor)) {}
+                             const asio::any_io_executor& executor)
+    : shared_(shared), known_(known), store_(store), timer_(executor) {}
 
 duration list_follower::longest_age() const {
   const auto rank = static_cast<double>(shared_.peers.reading_rank(shared_.time.now()));
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -47,7 +47,7 @@
 class config_follower {
  public:
   config_follower(state& shared, knowledge& known, platform::client& store,
-                  boost::asio::any_io_executor executor);
+                  const boost::asio::any_io_executor& executor);
   void start() { read(); }
 
  private:
@@ -69,7 +69,7 @@
 class list_follower {
  public:
   list_follower(state& shared, knowledge& known, platform::client& store,
-                boost::asio::any_io_executor executor);
+                const boost::asio::any_io_executor& executor);
   void start() { tick(); }
 
  private:
--- a/src/gateway/store_registration.cpp
+++ b/src/gateway/store_registration.cpp
@@ -25,7 +25,7 @@
 }  // namespace
 
 store_registration::store_registration(state& shared, platform::client& store,
-                                       asio::any_io_executor executor)
+                                       const asio::any_io_executor& executor)
     : shared_(shared), store_(store), timer_(executor), find_timer_(executor) {}
 
 void store_registration::start() {
@@ -57,7 +57,7 @@
 void store_registration::write(std::int64_t lease) {
   platform::transaction change;
   const std::string key = std::string(entry_prefix) + shared_.settings.vm;
-  change.effects.push_back(platform::put{key, relay::encode_peer(shared_.peers.self()), lease});
+  change.effects.emplace_back(platform::put{key, relay::encode_peer(shared_.peers.self()), lease});
   store_.transact(std::move(change), [this, lease](auto outcome) {
     if (!outcome) {
       const auto why = to_string(outcome.last_reason().kind);
--- a/src/gateway/store_registration.h
+++ b/src/gateway/store_registration.h
@@ -14,7 +14,8 @@
 // way to the first peer, all others are known through exchanges.
 class store_registration {
  public:
-  store_registration(state& shared, platform::client& store, boost::asio::any_io_executor executor);
+  store_registration(state& shared, platform::client& store,
+                     const boost::asio::any_io_executor& executor);
   void start();
 
  private:
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -202,6 +202,42 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{5}, told.size());
 }
 
+TEST_THAT(dispatcher, leaves_a_failure_domain_that_is_cut_off_and_comes_back_to_it) {
+  time_point now{1'000'000};
+  servers::server_list list{servers::server_list_settings{}};
+  servers::list_reading reading;
+  reading.revision = 1;
+  reading.read_at = now;
+  for (std::uint16_t index = 0; index < 18; ++index) {
+    servers::server_entry entry =
+        make_server("s" + std::to_string(index), static_cast<std::uint16_t>(8000 + index));
+    entry.failure_domain = index < 9 ? "zg-istok" : "vz-jug";
+    reading.entries.push_back(entry);
+  }
+  list.apply(reading, now);
+  dispatcher entry(list, "zg-istok", 1);
+  const auto far_after = [&](int requests) {
+    int far = 0;
+    for (int request = 0; request < requests; ++request) {
+      placement_query query;
+      const auto prefixes = prompt_about(1'000U + static_cast<std::uint64_t>(request), 1);
+      query.service = "forecast";
+      query.prefixes = prefixes;
+      query.target_latency = 2_s;
+      query.now = now;
+      const auto chosen = entry.choose(query);
+      const bool is_far = chosen->server.failure_domain == "vz-jug";
+      const sending sent = entry.sent(*chosen, prefixes, now);
+      entry.ended(sent, is_far ? send_end::not_connected : send_end::completed, now);
+      far += is_far ? 1 : 0;
+    }
+    return far;
+  };
+  CPPUNIT_ASSERT(far_after(40) <= 6);
+  now = now + 20_s;
+  CPPUNIT_ASSERT(far_after(10) >= 1);
+}
+
 TEST_THAT(retry_budget, allows_a_part_of_the_requests_and_a_share_of_the_slack) {
   retry_budget_settings settings;
   settings.ratio = 0.2;
--- a/tests/gateway/whole_path_test.cpp
+++ b/tests/gateway/whole_path_test.cpp
@@ -94,6 +94,22 @@
   CPPUNIT_ASSERT(broken.received().size() < 8);
 }
 
+TEST_THAT(gateway, spends_no_retry_where_nothing_was_sent) {
+  gateway_world world;
+  for (const char* id : {"gone-1", "gone-2", "gone-3"}) {
+    // Nobody listens at port 1 of the loopback address.
+    world.store().put(std::string("servers/") + id,
+                      R"({"Service":"stations","Address":"127.0.0.1:1","Zone":"zg-istok",)"
+                      R"("Slots":8,"State":"ready","born":1})");
+  }
+  world.add_server("s1", "stations", answer_whole);
+  world.start_without_retries();
+  for (int number = 0; number < 8; ++number) {
+    const std::string id = "r" + std::to_string(number);
+    CPPUNIT_ASSERT_EQUAL(200U, world.must_answer(make_request("POST", "/order/7", id)).status);
+  }
+}
+
 TEST_THAT(gateway, hands_on_a_servers_own_failure_with_its_seal) {
   gateway_world world;
   world.add_server("s1", "stations", answer_error);
--- a/tests/gateway/world.cpp
+++ b/tests/gateway/world.cpp
@@ -298,6 +298,7 @@
   settings.peers = any_port;
   settings.metrics = any_port;
   settings.store = store_.address();
+  settings.retries = retries_;
   settings.stop_grace = duration{5'000};
   auto made = gateway::gateway::create(settings, wire_, adapter::make_store_client);
   CPPUNIT_ASSERT(made.has_value());
@@ -306,6 +307,12 @@
   await([this] { return readiness() == 200; });
 }
 
+void gateway_world::start_without_retries() {
+  retries_.ratio = 0;
+  retries_.slack = 0;
+  start();
+}
+
 endpoint gateway_world::callers() const { return {"127.0.0.1", gateway_->caller_port()}; }
 
 result<http_response, net::net_failure> gateway_world::call(http_request request) {
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -124,6 +124,8 @@
   void list(fake_server& server, const std::string& service, bool leaving = false);
   // Starts the gateway and waits until it is ready.
   void start(std::vector<endpoint> seeds = {});
+  // The same, with an empty retry budget.
+  void start_without_retries();
   result<http_response, net::net_failure> call(http_request request);
   http_response must_answer(http_request request);
   unsigned readiness();
@@ -140,6 +142,7 @@
   fake_store store_;
   std::unique_ptr<net::http_client> client_;
   std::vector<std::unique_ptr<fake_server>> servers_;
+  dispatch::retry_budget_settings retries_;
   adapter::wire_protocol wire_;
   std::unique_ptr<gateway::gateway> gateway_;
   std::thread thread_;
