Hold requests for a moment until a process that has just started knows its routes

They now wait up to 0.4 s. Test: gateway::holds_requests_until_a_process_that_has_just_ started_knows_its_routes (503 before).

--- a/include/hawthornnotch/gateway/settings.h
+++ b/include/hawthornnotch/gateway/settings.h
@@ -30,6 +30,9 @@
   std::uint32_t descriptors = 1024;
   /// Time after which a backend server that said it leaves may get no new work.
   duration leave_notice{2'000};
+  /// How long a request waits for the first configuration and server list of a process that has
+  /// just started.
+  duration startup_hold{400};
   /// Time from SIGTERM to SIGKILL.
   duration stop_grace{8'000};
   dispatch::retry_budget_settings retries;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -178,9 +178,7 @@
     co_await run.run(std::move(request));
   }
 
-  [[nodiscard]] bool ready() const {
-    return !shared_.stopping && shared_.config.current() && shared_.servers.newest();
-  }
+  [[nodiscard]] bool ready() const { return !shared_.stopping && shared_.knows_enough(); }
 
   asio::awaitable<void> answer_readiness(net::http_request request, net::response_writer& writer) {
     net::http_response response;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <tuple>
 #include <utility>
 
@@ -31,9 +32,11 @@
 constexpr duration least_send_time{20};
 /// Longest whole answer that is kept in memory, in bytes.
 constexpr std::uint64_t most_answer_bytes = 8 * 1024 * 1024;
+/// How often a request that waits for the first configuration looks for it.
+constexpr std::chrono::milliseconds knowledge_period{10};
 /// Time a caller is asked to wait where nothing better is known.
 constexpr duration usual_return{300};
-constexpr duration configuration_return{500};
+constexpr duration configuration_return{400};
 /// A caller is not asked to wait for more than this part of the time that it has left.
 constexpr std::int64_t return_part = 3;
 
@@ -63,6 +66,8 @@
 
 asio::awaitable<void> request_run::run(net::http_request received) {
   request_ = shared_.wire.decode_request(std::move(received));
+  watch_caller();
+  co_await await_knowledge();
   std::optional<own_answer> refusal = resolve();
   if (!refusal && comes_too_late()) {
     refusal = own_answer::stopping;
@@ -71,7 +76,6 @@
     co_await refuse(*refusal);
   } else {
     prepare();
-    watch_caller();
     watch_time();
     shared_.retries.on_request(service_, arrived_);
     co_await send_until_answered();
@@ -80,6 +84,14 @@
   log_end();
 }
 
+asio::awaitable<void> request_run::await_knowledge() {
+  const time_point end = arrived_ + shared_.settings.startup_hold;
+  while (!shared_.knows_enough() && !caller_left_ && shared_.time.now() < end) {
+    timer_.expires_after(knowledge_period);
+    co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
 std::optional<own_answer> request_run::resolve() {
   using refusal = std::optional<own_answer>;
   table_ = shared_.config.current();
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -35,6 +35,8 @@
   // What follows a sending.
   enum class next_step : std::uint8_t { done, may_repeat, must_end };
 
+  // Waits for the first configuration and server list of a process that has just started.
+  boost::asio::awaitable<void> await_knowledge();
   // \returns why there is no route, or nothing where one was found.
   [[nodiscard]] std::optional<own_answer> resolve();
   [[nodiscard]] bool comes_too_late() const;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -10,6 +10,7 @@
 constexpr double longest_seconds = 3'600.0;
 constexpr double most_repeats = 1'000'000.0;
 constexpr integer_range any_notice{100, 3'600'000};
+constexpr integer_range any_hold{0, 60'000};
 constexpr integer_range any_descriptors{64, 1'000'000};
 
 duration read_seconds(json_reader& reader, std::string_view key, duration fallback) {
@@ -75,6 +76,7 @@
   settings.descriptors = static_cast<std::uint32_t>(
       reader.integer("descriptors", any_descriptors, std::int64_t{settings.descriptors}));
   settings.leave_notice = reader.milliseconds("leave_notice_ms", any_notice, settings.leave_notice);
+  settings.startup_hold = reader.milliseconds("startup_hold_ms", any_hold, settings.startup_hold);
   settings.stop_grace = read_seconds(reader, "stop_grace_s", settings.stop_grace);
   read_retries(reader, settings.retries);
   read_log(reader, settings.log);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -46,6 +46,9 @@
   dispatch::retry_budget retries;
   std::unique_ptr<observe::metrics> metrics;
   std::unique_ptr<net::http_client> http;
+  // Whether anything can be routed yet.
+  [[nodiscard]] bool knows_enough() const { return config.current() && servers.newest(); }
+
   bool stopping = false;
   // The process stops, and the balancer sends it no new connections any more.
   bool past_balancer_notice = false;
--- a/tests/gateway/whole_path_test.cpp
+++ b/tests/gateway/whole_path_test.cpp
@@ -1,4 +1,6 @@
 // The whole path over real sockets: caller, gateway, store and backend servers.
+#include <thread>
+
 #include "test_case.h"
 #include "world.h"
 
@@ -212,6 +214,17 @@
   CPPUNIT_ASSERT_EQUAL(200U, world.readiness());
 }
 
+TEST_THAT(gateway, holds_requests_until_a_process_that_has_just_started_knows_its_routes) {
+  gateway_world world;
+  world.add_server("s1", "stations", answer_whole);
+  world.start_before_the_store();
+  CPPUNIT_ASSERT_EQUAL(503U, world.readiness());
+  std::thread store_returns([&] { world.store().set_away(false); });
+  const http_response answer = world.must_answer(make_request("POST", "/order/7", "r1"));
+  store_returns.join();
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+}
+
 TEST_THAT(gateway, learns_from_a_peer_while_the_store_turns_it_away) {
   gateway_world first;
   fake_server& leaving = first.add_server("s1", "stations", answer_whole);
--- a/tests/gateway/world.cpp
+++ b/tests/gateway/world.cpp
@@ -78,7 +78,7 @@
   return std::move(*server);
 }
 
-fake_store::fake_store(loopback& around) : around_(around) {
+fake_store::fake_store(loopback& around) {
   server_ = around.serve([this](http_request request, net::response_writer& writer) {
     return handle(std::move(request), writer);
   });
@@ -288,6 +288,17 @@
 }
 
 void gateway_world::start(std::vector<endpoint> seeds) {
+  launch(std::move(seeds));
+  await([this] { return readiness() == 200; });
+}
+
+void gateway_world::start_before_the_store() {
+  startup_hold_ = duration{20'000};
+  store_.set_away(true);
+  launch({});
+}
+
+void gateway_world::launch(std::vector<endpoint> seeds) {
   gateway::gateway_settings settings;
   settings.vm = seeds.empty() ? "entry-1" : "entry-2";
   settings.seeds = std::move(seeds);
@@ -299,12 +310,12 @@
   settings.metrics = any_port;
   settings.store = store_.address();
   settings.retries = retries_;
+  settings.startup_hold = startup_hold_;
   settings.stop_grace = duration{5'000};
   auto made = gateway::gateway::create(settings, wire_, adapter::make_store_client);
   CPPUNIT_ASSERT(made.has_value());
   gateway_ = std::move(*made);
   thread_ = std::thread([this] { gateway_->run(); });
-  await([this] { return readiness() == 200; });
 }
 
 void gateway_world::start_without_retries() {
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -68,7 +68,6 @@
   http_response answer(const http_request& request);
   std::string changes_after(const std::string& prefix, std::int64_t after);
 
-  loopback& around_;
   std::mutex mutex_;
   std::map<std::string, item> items_;
   std::int64_t revision_ = 100;
@@ -124,6 +123,8 @@
   void list(fake_server& server, const std::string& service, bool leaving = false);
   // Starts the gateway and waits until it is ready.
   void start(std::vector<endpoint> seeds = {});
+  // Starts the gateway while the store is away; requests wait for its return.
+  void start_before_the_store();
   // The same, with an empty retry budget.
   void start_without_retries();
   result<http_response, net::net_failure> call(http_request request);
@@ -142,7 +143,10 @@
   fake_store store_;
   std::unique_ptr<net::http_client> client_;
   std::vector<std::unique_ptr<fake_server>> servers_;
+  void launch(std::vector<endpoint> seeds);
+
   dispatch::retry_budget_settings retries_;
+  duration startup_hold_{400};
   adapter::wire_protocol wire_;
   std::unique_ptr<gateway::gateway> gateway_;
   std::thread thread_;
