--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -70,8 +70,8 @@
   bool first_event_seen = false;
 };
 
-/// How sendings to one failure domain went: when its links are cut, each server there would otherwise
-/// have to fail by itself before it is left.
+/// How sendings to one failure domain went: when its links are cut, each server there would
+/// otherwise have to fail by itself before it is left.
 struct reachability {
   /// Age at which a connection or its absence counts half.
   static constexpr duration half_life{1'500};
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "peer_link.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <chrono>
@@ -56,11 +57,12 @@
 }
 
 void peer_link::tell_all() {
-  std::size_t told = 0;
-  for (const endpoint& address : shared_.peers.live_addresses(shared_.time.now())) {
-    if (told++ < most_told_at_once) {
-      exchange_with(address);
-    }
+  std::vector<endpoint> peers = shared_.peers.live_addresses(shared_.time.now());
+  // Drawn anew each time: each peer that hears of a change tells others in turn.
+  std::shuffle(peers.begin(), peers.end(), shared_.random.engine());
+  peers.resize(std::min(peers.size(), most_told_at_once));
+  for (const endpoint& address : peers) {
+    exchange_with(address);
   }
 }
 
