--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -22,5 +22,6 @@
   fi
   echo "$program: $line"
 done < "$folder/tests.txt"
+[ -f KNOWN-RED.txt ] && { echo "listed in KNOWN-RED.txt:"; grep -v '^#' KNOWN-RED.txt; }
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
