--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -154,7 +154,8 @@
 
 // Requests of the routes of `usual_config`.
 http_request make_request(std::string method, std::string path, std::string id);
-// Version with one route of each kind: /read/, /order/, /draft/ (resumable) and /open/.
+// Version with one route of each kind: /read/, /order/, /draft/ (resumable), /open/ and
+// /late/, which has little time.
 std::string usual_config(int version, const std::string& key = "key-z");
 
 }  // namespace hawthornnotch::test
