Copy shared prompt parts between servers, read them at two; leave servers whose address was taken

After a crash, restarted servers under new ids refused at once what was meant for the old ones; such an answer left no avoidance, they looked idle and drew 5,367 sends (a third of the fleet's sends at 10 to 14 s). Ruled out: processor (0.02 of a core), what was known of servers' work (11.7 known of 11.1 running and 10.6 waiting in that burst, better calm).

Change: a refusal by another server at the address avoids the server for 6 s; ranks are counted over servers that are not avoided; a long shared part is read at its first two servers unless both are gone; the one that reads copies it from the other (Kv-Fetch). The answer's own load figures are logged.

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -43,6 +44,8 @@
   double expected_ms = 0;
   /// Part of the request's value that is expected to be lost: what the choice minimizes.
   double loss = 0;
+  /// The server that the shared parts are copied from; none where they are read.
+  std::optional<endpoint> fetch_from;
   /// Place of the server in the rendezvous order of the shared prefix, 0 the first.
   std::uint32_t rank = 0;
   /// Requests known to run there.
@@ -132,9 +135,14 @@
   [[nodiscard]] double usual_gap_of_fleet() const;
   /// Time that one prompt token takes on a server, in ms.
   [[nodiscard]] double token_ms(const server_state& state, double fleet_gap) const;
-  void weigh_engine(const placement_query& query, const server_state& state, std::uint32_t rank,
-                    double fleet_gap, placement& out) const;
-  void weigh_service(const placement_query& query, const server_state& state, placement& out) const;
+  /// \returns whether the server is passed over while others can take the request.
+  [[nodiscard]] bool avoided(const servers::server_entry& server, time_point now);
+  void weigh_engine(const placement_query& query, const servers::server_entry& server,
+                    double fleet_gap, placement& out);
+  void weigh_service(const placement_query& query, const servers::server_entry& server,
+                     placement& out);
+  [[nodiscard]] double loss_by_failure(const servers::server_entry& server,
+                                       const server_state& state, time_point now) const;
   void learn_reachability(const sending& what, send_end end, time_point now);
   [[nodiscard]] double unreachable_share(std::string_view failure_domain, time_point now) const;
   void learn_prefill(const sending& what, const server_state& state, time_point now);
--- a/include/hawthornnotch/dispatch/server_state.h
+++ b/include/hawthornnotch/dispatch/server_state.h
@@ -19,6 +19,8 @@
   server_error,
   /// The server refused the request without running it.
   refused,
+  /// Another server answered at the address: the one that was meant has gone.
+  wrong_server,
   /// No connection: nothing was sent.
   not_connected,
   /// Cut, malformed, silent or late.
@@ -27,6 +29,13 @@
   abandoned,
 };
 
+/// Work of a server as the server itself counts it, of all its callers.
+struct reported_load {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
 /// Outcomes of one server: a share of failures, and a time during which it is avoided.
 class server_health {
  public:
@@ -44,6 +53,9 @@
   /// First time of avoidance after a failure; doubles with each further failure in a row.
   static constexpr duration first_avoidance{250};
   static constexpr duration longest_avoidance{4'000};
+  /// Time of avoidance of a server whose address another one has taken: the platform's list drops
+  /// it meanwhile.  Such refusals come at once, so that it would look idle and draw work.
+  static constexpr duration gone_avoidance{6'000};
   /// Weight of the assumption that a server does not fail.
   static constexpr double prior_weight = 2.0;
   policy::decaying_mean failures_{half_life, 0.0, prior_weight};
--- a/include/hawthornnotch/gateway/protocol.h
+++ b/include/hawthornnotch/gateway/protocol.h
@@ -11,6 +11,7 @@
 #include "hawthornnotch/base/clock.h"
 #include "hawthornnotch/base/result.h"
 #include "hawthornnotch/dispatch/prompt.h"
+#include "hawthornnotch/dispatch/server_state.h"
 #include "hawthornnotch/net/http_message.h"
 #include "hawthornnotch/routes/routing_config.h"
 #include "hawthornnotch/servers/server_entry.h"
@@ -43,6 +44,8 @@
   std::uint32_t priority = 0;
   /// Empty where the request belongs to no workspace.
   std::string workspace;
+  /// The server copies parts of the prompt from this one, if it holds any that are missing.
+  std::optional<endpoint> fetch_from;
   /// The stream goes on behind this event.
   std::optional<std::uint64_t> resume_after;
 };
@@ -55,8 +58,12 @@
   bool sealed = false;
   /// True if the server states that it has not run the request and will not.
   bool not_run = false;
+  /// True if another server than the one that was meant answered, which has not run it either.
+  bool wrong_server = false;
   /// True if the body is not the server's own, e.g. encoded on the way.
   bool altered = false;
+  /// The server's own count of its work, where it tells it.
+  std::optional<dispatch::reported_load> load;
 };
 
 enum class decode_failure : std::uint8_t { malformed };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -21,13 +21,16 @@
 /// Part of a request's value that reading 1,000 shared tokens again costs: it takes an engine's
 /// time from all requests that run there.
 constexpr double reread_loss = 0.08;
+/// Fewer unread shared tokens than this are read rather than copied.
+constexpr double least_fetched_tokens = 500.0;
 /// Estimated part of the caller's limit at which half of the answers are late, and how much more or
 /// less makes it nearly sure: estimates miss what other entry VMs have just sent.
 constexpr double half_late_part = 0.75;
 constexpr double late_spread = 0.1;
-/// Part of that loss at each place of the rendezvous order: what the second and third server read
-/// serves further requests, since all entry VMs send there what the first can't take in time.
-constexpr std::array<double, 4> reread_part = {1.0, 0.75, 0.75, 1.0};
+/// Part of that loss at each place of the rendezvous order.  What the second server reads serves
+/// further requests, since all entry VMs send there what the first can't take in time; read at more
+/// servers, the same parts would fill the fleet in a burst.
+constexpr std::array<double, 4> reread_part = {1.0, 0.75, 4.0, 4.0};
 /// Part of a shared prefix that has to be read where nothing is known: at the first, second and
 /// third server of the rendezvous order, which other entry VMs use too, and at all others.
 constexpr std::array<double, 4> unknown_part = {0.3, 0.8, 0.9, 1.0};
@@ -40,11 +43,16 @@
 constexpr double other_domain_loss = 0.005;
 /// Time after which a failure domain that could not be reached is tried again.
 constexpr duration domain_retry{3'000};
+/// A failure domain is left when more than this part of the latest connections to it failed.
+constexpr double most_unreachable = 0.5;
 /// Random part of a loss, so that entry VMs with equal knowledge spread.
 constexpr double spread_loss = 0.005;
 /// Time of an answer of a service that is no engine, assumed until one was timed, in ms.
 constexpr double assumed_answer_ms = 20.0;
 
+/// All servers from this place of the rendezvous order on are alike.
+constexpr std::uint32_t last_rank = unknown_part.size() - 1;
+
 std::uint64_t affinity(std::uint64_t prefix, std::string_view server) {
   return stable_hash(server, prefix);
 }
@@ -54,15 +62,17 @@
   std::uint32_t index = 0;
 };
 
-// The rank of each server in the rendezvous order of a prefix; ranks beyond the last entry of
-// `unknown_part` are equal.
+// The rank of each server in the rendezvous order of a prefix, counted over those that are not
+// avoided; ranks beyond the last entry of `unknown_part` are equal.
 std::vector<std::uint32_t> ranks_for(std::uint64_t prefix,
-                                     const std::vector<const servers::server_entry*>& candidates) {
-  constexpr std::uint32_t last_rank = unknown_part.size() - 1;
+                                     std::span<const servers::server_entry* const> candidates,
+                                     const std::vector<bool>& avoided) {
   std::vector<ranked> order;
   order.reserve(candidates.size());
   for (std::uint32_t index = 0; index < candidates.size(); ++index) {
-    order.push_back({affinity(prefix, candidates[index]->id), index});
+    if (!avoided[index]) {
+      order.push_back({affinity(prefix, candidates[index]->id), index});
+    }
   }
   const std::size_t sorted = std::min<std::size_t>(last_rank, order.size());
   std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(sorted), order.end(),
@@ -83,6 +93,26 @@
   return limit.ms > 0 ? ms / static_cast<double>(limit.ms) : 0.0;
 }
 
+// The servers that most probably hold the shared parts: the first two of the rendezvous order.
+std::vector<endpoint> holders(std::span<const servers::server_entry* const> candidates,
+                              std::span<const std::uint32_t> ranks) {
+  constexpr std::uint32_t count = 2;
+  std::vector<endpoint> out;
+  for (std::uint32_t rank = 0; rank < count; ++rank) {
+    const auto found = std::find(ranks.begin(), ranks.end(), rank);
+    if (found != ranks.end()) {
+      out.push_back(candidates[static_cast<std::size_t>(found - ranks.begin())]->address);
+    }
+  }
+  return out;
+}
+
+std::optional<endpoint> first_besides(const endpoint& target, std::span<const endpoint> holders) {
+  const auto found = std::find_if(holders.begin(), holders.end(),
+                                  [&](const endpoint& each) { return each != target; });
+  return found == holders.end() ? std::nullopt : std::optional(*found);
+}
+
 // The shared prefix is the one before the whole prompt.
 prompt_prefix shared_prefix(std::span<const prompt_prefix> prefixes) {
   return prefixes.size() < 2 ? prompt_prefix{} : prefixes[prefixes.size() - 2];
@@ -143,57 +173,78 @@
   }
   const bool is_engine = !query.prefixes.empty();
   const double fleet_gap = is_engine ? usual_gap_of_fleet() : 0;
+  std::vector<bool> is_avoided;
+  is_avoided.reserve(candidates.size());
+  for (const servers::server_entry* server : candidates) {
+    is_avoided.push_back(avoided(*server, query.now));
+  }
   std::vector<std::uint32_t> ranks(candidates.size(), 0);
+  std::vector<endpoint> sources;
   if (is_engine) {
-    ranks = ranks_for(shared_prefix(query.prefixes).hash, candidates);
+    ranks = ranks_for(shared_prefix(query.prefixes).hash, candidates, is_avoided);
+    sources = holders(candidates, ranks);
   }
   placement best;
-  bool found = false;
+  const servers::server_entry* best_server = nullptr;
   bool best_avoided = false;
   for (std::uint32_t index = 0; index < candidates.size(); ++index) {
     const servers::server_entry& server = *candidates[index];
     if (std::find(query.tried.begin(), query.tried.end(), server.id) != query.tried.end()) {
       continue;
     }
-    const server_state& state = state_of(server);
     placement next;
-    next.server = server;
-    next.running = state.all_running();
     next.rank = ranks[index];
     if (is_engine) {
-      weigh_engine(query, state, ranks[index], fleet_gap, next);
+      next.fetch_from = first_besides(server.address, sources);
+      weigh_engine(query, server, fleet_gap, next);
     } else {
-      weigh_service(query, state, next);
+      weigh_service(query, server, next);
     }
-    next.loss += unreachable_share(server.failure_domain, query.now);
     next.loss += random_.unit() * spread_loss;
-    const bool is_avoided = state.health.avoided(query.now);
-    const bool better = !found || (best_avoided && !is_avoided) ||
-                        (best_avoided == is_avoided && next.loss < best.loss);
+    const bool better = best_server == nullptr || (best_avoided && !is_avoided[index]) ||
+                        (best_avoided == is_avoided[index] && next.loss < best.loss);
     if (better) {
       best = std::move(next);
-      best_avoided = is_avoided;
-      found = true;
+      best_server = &server;
+      best_avoided = is_avoided[index];
     }
   }
-  if (!found) {
+  if (best_server == nullptr) {
     return failed{placement_failure::none_left};
   }
+  best.server = *best_server;
   best.candidates = static_cast<std::uint32_t>(candidates.size());
   return best;
 }
 
-void dispatcher::weigh_engine(const placement_query& query, const server_state& state,
-                              std::uint32_t rank, double fleet_gap, placement& out) const {
+bool dispatcher::avoided(const servers::server_entry& server, time_point now) {
+  return state_of(server).health.avoided(now) ||
+         unreachable_share(server.failure_domain, now) > most_unreachable;
+}
+
+// What any request may lose at a server: by its failures and by its distance.
+double dispatcher::loss_by_failure(const servers::server_entry& server, const server_state& state,
+                                   time_point now) const {
+  const double distance = server.failure_domain == failure_domain_ ? 0.0 : other_domain_loss;
+  return state.health.failure_share() + distance + unreachable_share(server.failure_domain, now);
+}
+
+void dispatcher::weigh_engine(const placement_query& query, const servers::server_entry& server,
+                              double fleet_gap, placement& out) {
+  const server_state& state = state_of(server);
   const std::uint32_t whole = query.prefixes.back().tokens;
   const std::uint32_t shared = shared_prefix(query.prefixes).tokens;
   const std::uint32_t held = state.cache.held_tokens(query.prefixes);
-  const double shared_unread = shared > held ? (shared - held) * unknown_part.at(rank) : 0.0;
+  const double shared_unread = shared > held ? (shared - held) * unknown_part.at(out.rank) : 0.0;
   const double own_unread = static_cast<double>(whole - std::max(shared, held));
   const double per_token = token_ms(state, fleet_gap);
   const double waiting = static_cast<double>(state.all_prefill_tokens()) * per_token;
-  const double taken = static_cast<double>(state.all_running()) / std::max(1U, out.server.slots);
+  const double taken = static_cast<double>(state.all_running()) / std::max(1U, server.slots);
 
+  if (shared_unread < least_fetched_tokens) {
+    out.fetch_from.reset();
+  }
+  out.running = state.all_running();
   out.uncached_tokens = static_cast<std::uint32_t>(shared_unread + own_unread);
   out.expected_ms = waiting + out.uncached_tokens * per_token;
   const double slowness = part_of(out.expected_ms, query.target_latency);
@@ -202,22 +253,22 @@
   constexpr double tokens_per_unit = 1'000.0;
 
   out.loss = late_loss * (1.0 - in_time) + slow_loss * slowness;
-  out.loss += reread_loss * reread_part.at(rank) * shared_unread / tokens_per_unit;
+  out.loss += reread_loss * reread_part.at(out.rank) * shared_unread / tokens_per_unit;
   out.loss += full_loss * taken * taken;
-  out.loss += state.health.failure_share();
-  out.loss += out.server.failure_domain == failure_domain_ ? 0.0 : other_domain_loss;
+  out.loss += loss_by_failure(server, state, query.now);
 }
 
-void dispatcher::weigh_service(const placement_query& query, const server_state& state,
-                               placement& out) const {
+void dispatcher::weigh_service(const placement_query& query, const servers::server_entry& server,
+                               placement& out) {
+  const server_state& state = state_of(server);
   const double answer = state.answer_ms.value() > 0 ? state.answer_ms.value() : assumed_answer_ms;
-  const double taken = static_cast<double>(state.all_running()) / std::max(1U, out.server.slots);
+  const double taken = static_cast<double>(state.all_running()) / std::max(1U, server.slots);
+  out.running = state.all_running();
   out.expected_ms = answer * (1.0 + taken);
   const double slowness = part_of(out.expected_ms, query.target_latency);
   out.loss = late_loss * exceeds(slowness) + slow_loss * slowness;
   out.loss += full_loss * taken * taken;
-  out.loss += state.health.failure_share();
-  out.loss += out.server.failure_domain == failure_domain_ ? 0.0 : other_domain_loss;
+  out.loss += loss_by_failure(server, state, query.now);
 }
 
 sending dispatcher::sent(const placement& chosen, std::vector<prompt_prefix> prefixes,
--- a/src/dispatch/server_state.cpp
+++ b/src/dispatch/server_state.cpp
@@ -16,6 +16,10 @@
     case send_end::refused:
       failures_.add(1.0, 1.0, now);
       return;
+    case send_end::wrong_server:
+      failures_.add(1.0, 1.0, now);
+      avoid_until_ = std::max(avoid_until_, now + gone_avoidance);
+      return;
     case send_end::not_connected:
     case send_end::broken:
       break;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -229,6 +229,7 @@
   order.priority =
       workspace_ != nullptr && workspace_->priority ? *workspace_->priority : route_->priority;
   order.workspace = workspace_ != nullptr ? workspace_->name : "";
+  order.fetch_from = to.fetch_from;
   order.resume_after = splitter_.last_id();
   net::http_request message = shared_.wire.encode_request(request_, order);
   sending_ = shared_.dispatcher.sent(to, prefixes_, shared_.time.now());
@@ -275,8 +276,10 @@
 asio::awaitable<request_run::next_step> request_run::deliver(net::response_stream& answer) {
   const answer_facts facts = shared_.wire.decode_answer(answer.head());
   arrived_somewhere_ = true;
+  load_ = facts.load;
   if (facts.not_run) {
-    finish_sending(dispatch::send_end::refused);
+    finish_sending(facts.wrong_server ? dispatch::send_end::wrong_server
+                                      : dispatch::send_end::refused);
     log_event(
         level::info, "server_refused",
         {{"request_id", request_.id}, {"server", tried_.back()}, {"status", answer.head().status}});
@@ -468,6 +471,7 @@
              {"send", tried_.size()},
              {"resume_after", splitter_.last_id().value_or(0)},
              {"rank", to.rank},
+             {"copies_prompt", to.fetch_from.has_value()},
              {"candidates", to.candidates},
              {"unread_tokens", to.uncached_tokens},
              {"server_running", to.running},
@@ -501,6 +505,10 @@
              {"events", events_},
              {"prompt_tokens", request_.prompt.prompt_tokens},
              {"expected_ms", static_cast<std::int64_t>(chosen_.expected_ms)},
+             {"server_running", chosen_.running},
+             {"reported_running", load_ ? static_cast<std::int64_t>(load_->running) : -1},
+             {"reported_waiting", load_ ? static_cast<std::int64_t>(load_->waiting) : -1},
+             {"rank", chosen_.rank},
              {"first_ms", first_event_after_.value_or(duration{-1}).ms},
              {"longest_gap_ms", longest_gap_.ms},
              {"total_ms", total.ms},
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -101,6 +101,8 @@
   time_point last_events_at_;
   duration longest_gap_;
   dispatch::placement chosen_;
+  // As the last server told it.
+  std::optional<dispatch::reported_load> load_;
 };
 
 }  // namespace hawthornnotch::gateway::internal
--- a/tests/adapter/wire_protocol_test.cpp
+++ b/tests/adapter/wire_protocol_test.cpp
@@ -46,6 +46,16 @@
   CPPUNIT_ASSERT(sent.header("Last-Event-Id") == "20");
 }
 
+TEST_THAT(wire_protocol, names_the_server_to_copy_prompt_parts_from) {
+  const wire_protocol wire;
+  const gateway::caller_request request =
+      wire.decode_request(make_request({{"Kv-Fetch", "10.9.9.9:1"}}));
+  gateway::send_order order;
+  CPPUNIT_ASSERT(!wire.encode_request(request, order).header("Kv-Fetch"));
+  order.fetch_from = endpoint{"10.0.0.7", 8001};
+  CPPUNIT_ASSERT(wire.encode_request(request, order).header("Kv-Fetch") == "10.0.0.7:8001");
+}
+
 TEST_THAT(wire_protocol, tells_answers_that_have_not_run) {
   const wire_protocol wire;
   net::http_response head;
@@ -56,6 +66,21 @@
   head.headers.clear();
   head.status = 421;
   CPPUNIT_ASSERT(wire.decode_answer(head).not_run);
+  CPPUNIT_ASSERT(wire.decode_answer(head).wrong_server);
+}
+
+TEST_THAT(wire_protocol, reads_what_a_server_tells_of_its_load) {
+  const wire_protocol wire;
+  net::http_response head;
+  CPPUNIT_ASSERT(!wire.decode_answer(head).load);
+  head.headers = {{"X-Instance-Load", "3,2,8"}};
+  const auto load = wire.decode_answer(head).load;
+  CPPUNIT_ASSERT(load.has_value());
+  CPPUNIT_ASSERT_EQUAL(3U, load->running);
+  CPPUNIT_ASSERT_EQUAL(2U, load->waiting);
+  CPPUNIT_ASSERT_EQUAL(8U, load->slots);
+  head.headers = {{"X-Instance-Load", "3,x,8"}};
+  CPPUNIT_ASSERT(!wire.decode_answer(head).load);
 }
 
 TEST_THAT(wire_protocol, reads_a_configuration) {
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -106,6 +106,40 @@
   CPPUNIT_ASSERT(used.size() <= 6);
 }
 
+// A burst that fills all servers: each further server that reads a long shared part takes its time
+// from all other prompts, and the fleet collapses under the same parts read everywhere.
+TEST_THAT(dispatcher, reads_long_shared_parts_at_two_servers_at_most_when_all_are_busy) {
+  fleet_case fleet(18);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  std::map<std::string, relay::server_work, std::less<>> work;
+  for (const servers::server_entry* server : fleet.list.serving("forecast")) {
+    work[server->id] = {server->id, 100, 40'000};
+  }
+  std::set<std::string> used;
+  for (std::uint64_t request = 1; request <= 60; ++request) {
+    entry.apply_peer_work(work);
+    const placement chosen = fleet.choose(entry, prompt_about(7, request));
+    used.insert(chosen.server.id);
+    work[chosen.server.id].running += 1;
+    work[chosen.server.id].prefill_tokens += own_tokens;
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, used.size());
+}
+
+TEST_THAT(dispatcher, copies_shared_parts_from_the_first_other_server_that_works) {
+  fleet_case fleet(18);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  const auto prefixes = prompt_about(7, 1);
+  const placement first = fleet.choose(entry, prefixes);
+  const placement second = fleet.choose(entry, prefixes, {first.server.id});
+  CPPUNIT_ASSERT(second.fetch_from == first.server.address);
+  CPPUNIT_ASSERT(first.fetch_from == second.server.address);
+  const sending cut = entry.sent(first, prefixes, fleet.now);
+  entry.ended(cut, send_end::broken, fleet.now);
+  const placement third = fleet.choose(entry, prefixes, {first.server.id, second.server.id});
+  CPPUNIT_ASSERT(third.fetch_from == second.server.address);
+}
+
 TEST_THAT(dispatcher, counts_the_work_that_other_entry_vms_have_sent) {
   fleet_case fleet(18);
   dispatcher entry(fleet.list, "zg-istok", 1);
@@ -145,6 +179,21 @@
   CPPUNIT_ASSERT_EQUAL(home.server.id, fleet.choose(entry, other).server.id);
 }
 
+TEST_THAT(dispatcher, leaves_a_server_whose_address_another_one_has_taken) {
+  fleet_case fleet(18);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  prompt_shape long_prompt;
+  long_prompt.parts = {{7, 40'000}, {1, own_tokens}};
+  const auto prefixes = prefixes_of(long_prompt);
+  const placement home = fleet.choose(entry, prefixes);
+  const sending sent = entry.sent(home, prefixes, fleet.now);
+  entry.ended(sent, send_end::wrong_server, fleet.now);
+  for (int second = 0; second < 5; ++second) {
+    fleet.now = fleet.now + 1_s;
+    CPPUNIT_ASSERT(fleet.choose(entry, prefixes).server.id != home.server.id);
+  }
+}
+
 TEST_THAT(dispatcher, keeps_callers_who_expect_short_pauses_from_a_server_with_long_ones) {
   fleet_case fleet(2);
   dispatcher entry(fleet.list, "zg-istok", 1);
