Send a peer at once what its answer shows to be missing there

Ruled out: the store (stable, readings took 15 ms), the followers' order of reading.

Change: the asking side sends a second message where the answer shows older knowledge. New tests: that message; a caller that leaves ends the work at the server; the text of the metrics door.

--- a/include/hawthornnotch/gateway/gateway.h
+++ b/include/hawthornnotch/gateway/gateway.h
@@ -46,6 +46,7 @@
   [[nodiscard]] virtual std::uint16_t caller_port() const = 0;
   [[nodiscard]] virtual std::uint16_t readiness_port() const = 0;
   [[nodiscard]] virtual std::uint16_t peer_port() const = 0;
+  [[nodiscard]] virtual std::uint16_t metrics_port() const = 0;
 };
 
 }  // namespace hawthornnotch::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -154,6 +154,7 @@
   [[nodiscard]] std::uint16_t caller_port() const override { return callers_->port(); }
   [[nodiscard]] std::uint16_t readiness_port() const override { return readiness_->port(); }
   [[nodiscard]] std::uint16_t peer_port() const override { return peers_->port(); }
+  [[nodiscard]] std::uint16_t metrics_port() const override { return metrics_->port(); }
 
  private:
   static constexpr std::uint64_t most_peer_bytes = 16 * 1024 * 1024;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -71,27 +71,41 @@
 }
 
 asio::awaitable<void> peer_link::exchange(endpoint to) {
+  const auto answer = co_await send(to, compose());
+  if (!answer) {
+    co_return;
+  }
+  relay::exchange_message more = compose();
+  add_missing(more, *answer);
+  if (more.config || more.list) {
+    std::ignore = co_await send(to, more);
+  }
+}
+
+asio::awaitable<std::optional<relay::exchange_message>> peer_link::send(
+    const endpoint& to, const relay::exchange_message& message) {
   net::http_request request;
   request.method = "POST";
   request.target = exchange_path;
-  request.body = relay::encode(compose());
+  request.body = relay::encode(message);
   net::exchange_limits limits;
   limits.connect_timeout = connect_timeout;
   limits.head_timeout = answer_timeout;
   limits.read_timeout = answer_timeout;
   limits.unacknowledged_timeout = unacknowledged_timeout;
   limits.body_bytes = most_message_bytes;
-  auto answer = co_await shared_.http->fetch(to, std::move(request), limits);
-  if (!answer) {
+  auto response = co_await shared_.http->fetch(to, std::move(request), limits);
+  if (!response) {
     shared_.peers.contact_failed(to, shared_.time.now());
-    co_return;
+    co_return std::nullopt;
   }
-  const auto message = relay::decode(answer->body);
-  if (message) {
-    take(*message);
-  } else {
+  const auto answer = relay::decode(response->body);
+  if (!answer) {
     observe::log_event(observe::level::warning, "exchange_unreadable", {{"peer", to.address}});
+    co_return std::nullopt;
   }
+  take(*answer);
+  co_return *answer;
 }
 
 asio::awaitable<void> peer_link::handle(net::http_request request, net::response_writer& writer) {
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 
 #include "hawthornnotch/net/http_server.h"
 #include "hawthornnotch/relay/exchange.h"
@@ -28,7 +29,12 @@
   void tick();
   void log_changes();
   void exchange_with(const endpoint& to);
+  // Tells the peer what this process knows; a second message brings what its answer shows to be
+  // missing there, so that a change does not wait for the peer's own turn.
   boost::asio::awaitable<void> exchange(endpoint to);
+  // \returns the peer's answer, which was taken; none where there was none that can be read.
+  boost::asio::awaitable<std::optional<relay::exchange_message>> send(
+      const endpoint& to, const relay::exchange_message& message);
   void take(const relay::exchange_message& message);
   void take_list(const relay::exchange_message& message);
   [[nodiscard]] relay::exchange_message compose();
--- a/tests/gateway/whole_path_test.cpp
+++ b/tests/gateway/whole_path_test.cpp
@@ -1,12 +1,17 @@
 // The whole path over real sockets: caller, gateway, store and backend servers.
+#include <algorithm>
 #include <thread>
+#include <tuple>
 
+#include "hawthornnotch/relay/exchange.h"
 #include "test_case.h"
 #include "world.h"
 
 namespace hawthornnotch::test {
 namespace {
 
+namespace asio = boost::asio;
+
 std::string body_of_events(int first, int last) {
   std::string body;
   for (int id = first; id <= last; ++id) {
@@ -249,6 +254,59 @@
       [&] { return second.must_answer(make_request("GET", "/read/", "t")).status == 401; });
 }
 
+// A peer that knows nothing must not wait for its own turn to ask.
+TEST_THAT(gateway, sends_a_peer_what_its_answer_shows_to_be_missing_there) {
+  loopback around;
+  fake_server peer(
+      around, "entry-9",
+      [](const http_request& /*request*/, net::response_writer& writer) -> asio::awaitable<void> {
+        relay::exchange_message nothing_known;
+        nothing_known.from.vm = "entry-9";
+        nothing_known.from.address = {"127.0.0.1", 1};
+        http_response answer;
+        answer.body = relay::encode(nothing_known);
+        std::ignore = co_await writer.send(std::move(answer));
+      });
+  gateway_world world;
+  world.add_server("s1", "stations", answer_whole);
+  world.start({peer.address()});
+  world.await([&] {
+    const std::vector<http_request> received = peer.received();
+    return std::any_of(received.begin(), received.end(), [](const http_request& request) {
+      const auto message = relay::decode(request.body);
+      return message && message->config && message->list && message->list->size() == 1;
+    });
+  });
+}
+
+TEST_THAT(gateway, ends_the_work_of_a_caller_that_has_left) {
+  gateway_world world;
+  fake_server& whole = world.add_server("s1", "stations", never_answer);
+  fake_server& stream = world.add_server("e1", "forecast", never_answer);
+  world.start();
+  world.call_and_leave(make_request("POST", "/order/", "r1"));
+  world.call_and_leave(make_request("POST", "/draft/", "r2"));
+  world.await([&] { return whole.left() == 1 && stream.left() == 1; });
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, whole.received().size());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stream.received().size());
+}
+
+TEST_THAT(gateway, shows_requests_latencies_and_state_on_its_metrics_door) {
+  gateway_world world;
+  world.add_server("s1", "stations", answer_whole);
+  world.start();
+  world.must_answer(make_request("GET", "/read/", "r1"));
+  world.must_answer(make_request("GET", "/nowhere/", "r2"));
+  const std::string text = world.metrics_text();
+  const auto shows = [&](const std::string& line) { return text.find(line) != std::string::npos; };
+  CPPUNIT_ASSERT(
+      shows(R"(hawthornnotch_requests_total{outcome="delivered",service="stations"} 1)"));
+  CPPUNIT_ASSERT(shows(R"(hawthornnotch_requests_total{outcome="no_route",service=""} 1)"));
+  CPPUNIT_ASSERT(shows(R"(hawthornnotch_request_ms_count{service="stations"} 1)"));
+  CPPUNIT_ASSERT(shows("hawthornnotch_config_version 1"));
+  CPPUNIT_ASSERT(shows(R"(hawthornnotch_server_running{server="s1"} 0)"));
+}
+
 TEST_THAT(gateway, finishes_what_it_has_begun_when_it_stops) {
   gateway_world world;
   world.add_server("s1", "stations", answer_whole);
--- a/tests/gateway/world.cpp
+++ b/tests/gateway/world.cpp
@@ -214,7 +214,7 @@
 
 std::string fake_server::entry(const std::string& service, bool leaving) const {
   return json::serialize(json::object{{"Service", service},
-                                      {"Address", "127.0.0.1:" + std::to_string(server_->port())},
+                                      {"Address", "127.0.0.1:" + std::to_string(address().port)},
                                       {"Zone", "zg-istok"},
                                       {"Slots", 8},
                                       {"State", leaving ? "draining" : "ready"},
@@ -336,6 +336,20 @@
   return *answer;
 }
 
+void gateway_world::call_and_leave(http_request request) {
+  net::exchange_limits limits;
+  limits.head_timeout = duration{300};
+  const auto answer = around_.await(client_->fetch(callers(), std::move(request), limits));
+  CPPUNIT_ASSERT(!answer.has_value());
+}
+
+std::string gateway_world::metrics_text() {
+  const endpoint at{"127.0.0.1", gateway_->metrics_port()};
+  auto answer = around_.await(client_->fetch(at, http_request{}, {}));
+  CPPUNIT_ASSERT(answer.has_value());
+  return answer->body;
+}
+
 unsigned gateway_world::readiness() {
   http_request request;
   request.target = "/api/readyz";
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -86,6 +86,7 @@
   // What the server writes into the list.
   [[nodiscard]] std::string entry(const std::string& service, bool leaving = false) const;
   [[nodiscard]] const std::string& id() const { return id_; }
+  [[nodiscard]] endpoint address() const { return {"127.0.0.1", server_->port()}; }
 
  private:
   std::string id_;
@@ -129,7 +130,10 @@
   void start_without_retries();
   result<http_response, net::net_failure> call(http_request request);
   http_response must_answer(http_request request);
+  // Sends the request and closes the connection when no answer has come for a moment.
+  void call_and_leave(http_request request);
   unsigned readiness();
+  std::string metrics_text();
   // Waits until `holds`; fails the test after some seconds.
   void await(const std::function<bool()>& holds);
   gateway::gateway& gateway() { return *gateway_; }
