Order requests by their workspace's priority, then by their route's

Change: the urgency is the place among all pairs of workspace's and route's priority, in that order.

--- a/include/hawthornnotch/gateway/protocol.h
+++ b/include/hawthornnotch/gateway/protocol.h
@@ -41,7 +41,7 @@
   std::string server_id;
   duration time_left;
   /// 0 is the most urgent.
-  std::uint32_t priority = 0;
+  std::uint32_t urgency = 0;
   /// Empty where the request belongs to no workspace.
   std::string workspace;
   /// The server copies parts of the prompt from this one, if it holds any that are missing.
--- a/include/hawthornnotch/routes/route_table.h
+++ b/include/hawthornnotch/routes/route_table.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -51,6 +52,11 @@
   /// \param draw uniform in [0, 1); the same draw gives the same service.
   [[nodiscard]] static const std::string& pick_service(const route& from, double draw);
   [[nodiscard]] const service_definition* service(std::string_view name) const;
+  /// Orders requests by the priority of their workspace, and by that of their route within one
+  /// priority of workspaces.
+  /// \param workspace null for a request without one, which ranks with the most urgent.
+  /// \returns 0 for the most urgent; all levels up to the highest one are in use.
+  [[nodiscard]] std::uint32_t urgency(const route& of, const workspace_access* workspace) const;
   [[nodiscard]] const routing_config& config() const { return config_; }
   [[nodiscard]] std::int64_t version() const { return config_.version; }
 
@@ -62,6 +68,9 @@
   std::unordered_map<std::string, std::vector<const route*>> by_host_;
   std::unordered_map<std::string_view, const workspace_access*> by_key_;
   std::unordered_map<std::string_view, const service_definition*> by_service_;
+  /// The priorities that occur, in order.
+  std::set<std::uint32_t> workspace_priorities_;
+  std::set<std::uint32_t> route_priorities_;
 };
 
 /// Keeps the newest version: an older one is never taken again.
--- a/include/hawthornnotch/routes/routing_config.h
+++ b/include/hawthornnotch/routes/routing_config.h
@@ -77,7 +77,7 @@
 struct workspace_access {
   std::string name;
   std::vector<std::string> api_keys;
-  /// Goes before the route's priority where set.
+  /// Orders requests before the route's priority does.
   std::optional<std::uint32_t> priority;
 };
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -230,8 +230,7 @@
   send_order order;
   order.server_id = to.server.id;
   order.time_left = left();
-  order.priority =
-      workspace_ != nullptr && workspace_->priority ? *workspace_->priority : route_->priority;
+  order.urgency = table_->urgency(*route_, workspace_);
   order.workspace = workspace_ != nullptr ? workspace_->name : "";
   order.fetch_from = to.fetch_from;
   order.resume_after = splitter_.last_id();
@@ -473,6 +472,7 @@
              {"service", service_},
              {"server", to.server.id},
              {"send", tried_.size()},
+             {"urgency", table_->urgency(*route_, workspace_)},
              {"resume_after", splitter_.last_id().value_or(0)},
              {"rank", to.rank},
              {"copies_prompt", to.fetch_from.has_value()},
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -1,6 +1,7 @@
 #include "hawthornnotch/routes/route_table.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace hawthornnotch::routes {
 
@@ -10,6 +11,12 @@
   return path.substr(0, prefix.size()) == prefix;
 }
 
+// \returns how many of the priorities are more urgent.
+std::size_t level(const std::set<std::uint32_t>& priorities, std::uint32_t priority) {
+  return static_cast<std::size_t>(
+      std::distance(priorities.begin(), priorities.lower_bound(priority)));
+}
+
 bool longer_prefix(const route* a, const route* b) { return a->prefix.size() > b->prefix.size(); }
 
 }  // namespace
@@ -21,6 +28,7 @@
 route_table::route_table(routing_config config) : config_(std::move(config)) {
   for (const route& each : config_.routes) {
     by_host_[each.host].push_back(&each);
+    route_priorities_.insert(each.priority);
   }
   for (auto& [host, found] : by_host_) {
     std::stable_sort(found.begin(), found.end(), longer_prefix);
@@ -29,6 +37,9 @@
     for (const std::string& key : workspace.api_keys) {
       by_key_.emplace(key, &workspace);
     }
+    if (workspace.priority) {
+      workspace_priorities_.insert(*workspace.priority);
+    }
   }
   for (const service_definition& service : config_.services) {
     by_service_.emplace(service.name, &service);
@@ -78,6 +89,13 @@
   return found == by_service_.end() ? nullptr : found->second;
 }
 
+std::uint32_t route_table::urgency(const route& of, const workspace_access* workspace) const {
+  const bool has_priority = workspace != nullptr && workspace->priority;
+  const std::size_t outer = has_priority ? level(workspace_priorities_, *workspace->priority) : 0;
+  const std::size_t inner = level(route_priorities_, of.priority);
+  return static_cast<std::uint32_t>(outer * route_priorities_.size() + inner);
+}
+
 bool config_holder::offer(std::shared_ptr<const route_table> newer) {
   if (!newer || newer->version() <= version()) {
     return false;
--- a/tests/routes/route_table_test.cpp
+++ b/tests/routes/route_table_test.cpp
@@ -71,6 +71,24 @@
   CPPUNIT_ASSERT_EQUAL(std::string("new"), route_table::pick_service(split, 0.91));
 }
 
+// Engines preempt by urgency: an urgent route must stay ahead of others of the same workspace.
+TEST_THAT(route_table, orders_by_workspace_and_then_by_route) {
+  routing_config config = two_prefixes();
+  config.routes.front().priority = 2;
+  config.routes.back().priority = 0;
+  config.workspaces.front().priority = 0;
+  const auto table = route_table::create(std::move(config));
+  const route& bulk = table->config().routes.front();
+  const route& urgent = table->config().routes.back();
+  const workspace_access& first = table->config().workspaces.front();
+  const workspace_access& second = table->config().workspaces.back();
+  CPPUNIT_ASSERT_EQUAL(0U, table->urgency(urgent, &first));
+  CPPUNIT_ASSERT_EQUAL(1U, table->urgency(bulk, &first));
+  CPPUNIT_ASSERT_EQUAL(2U, table->urgency(urgent, &second));
+  CPPUNIT_ASSERT_EQUAL(3U, table->urgency(bulk, &second));
+  CPPUNIT_ASSERT_EQUAL(1U, table->urgency(bulk, nullptr));
+}
+
 TEST_THAT(config_holder, never_goes_back) {
   config_holder held;
   routing_config config = two_prefixes();
