Tell peers which servers are gone

Change: a server that was found gone is passed over for 6 s by all who hear of it in an exchange; the remaining time is told on, never longer. Two tests (three entry VMs in a row; the codec).

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -127,6 +127,10 @@
   void apply_peer_paces(std::span<const relay::server_pace> paces, time_point now);
   /// \returns some of what this process has seen, each time the next in turn, at most `most`.
   [[nodiscard]] std::vector<relay::server_pace> own_paces(std::size_t most);
+  /// Servers that another entry VM found gone.
+  void apply_absences(std::span<const relay::server_absence> absences, time_point now);
+  /// \returns the servers that are passed over as gone, by own or others' sendings.
+  [[nodiscard]] std::vector<relay::server_absence> absences(time_point now) const;
   /// Forgets servers that are gone; call after the list changed.
   void forget_gone();
   /// \returns own work by server, for peers.
--- a/include/hawthornnotch/dispatch/server_state.h
+++ b/include/hawthornnotch/dispatch/server_state.h
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNNOTCH_DISPATCH_SERVER_STATE_H_
 #define HAWTHORNNOTCH_DISPATCH_SERVER_STATE_H_
 
+#include <algorithm>
 #include <cstdint>
 
 #include "hawthornnotch/base/clock.h"
@@ -43,9 +44,16 @@
   /// \returns the share of recent sendings that failed, 0 to 1.
   [[nodiscard]] double failure_share() const { return failures_.value(); }
   /// \returns whether the server is passed over while others can take the request.
-  [[nodiscard]] bool avoided(time_point now) const { return now < avoid_until_; }
-  /// \returns when it may be tried again.
-  [[nodiscard]] time_point avoided_until() const { return avoid_until_; }
+  [[nodiscard]] bool avoided(time_point now) const {
+    return now < avoid_until_ || now < gone_until_;
+  }
+  /// The server is gone: it is passed over for this long, `gone_avoidance` at most, unless it
+  /// already is for longer.
+  void leave_for(duration time, time_point now) {
+    gone_until_ = std::max(gone_until_, now + std::min(time, gone_avoidance));
+  }
+  /// \returns how much longer it is passed over as gone; 0 or less where it is not.
+  [[nodiscard]] duration gone_for(time_point now) const { return gone_until_ - now; }
 
  private:
   /// Age at which an outcome counts half.
@@ -61,6 +69,7 @@
   policy::decaying_mean failures_{half_life, 0.0, prior_weight};
   std::uint32_t broken_in_row_ = 0;
   time_point avoid_until_;
+  time_point gone_until_;
 };
 
 /// Requests, speed, health and cache of one start of a backend server.
--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -50,6 +50,13 @@
   double long_gap_ms = 0;
 };
 
+/// A backend server whose address another one has taken, though the list still names it.
+struct server_absence {
+  std::string server;
+  /// How much longer it is passed over; the list drops it meanwhile.
+  duration remaining;
+};
+
 /// One direction of an exchange.
 struct exchange_message {
   peer from;
@@ -63,6 +70,8 @@
   std::uint64_t list_digest = 0;
   /// Some of what the sender has seen itself.
   std::vector<server_pace> paces;
+  /// Servers that the sender, or those that told it, found gone.
+  std::vector<server_absence> absences;
   /// Some of the others, as the sender last heard of them.
   std::vector<peer> peers;
   /// The configuration as the platform holds it, where the receiver was seen to lack it.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -404,6 +404,26 @@
   return out;
 }
 
+void dispatcher::apply_absences(std::span<const relay::server_absence> absences, time_point now) {
+  for (const relay::server_absence& absence : absences) {
+    const servers::server_entry* server = list_.find(absence.server);
+    if (server != nullptr) {
+      state_of(*server).health.leave_for(absence.remaining, now);
+    }
+  }
+}
+
+std::vector<relay::server_absence> dispatcher::absences(time_point now) const {
+  std::vector<relay::server_absence> out;
+  for (const auto& [id, state] : states_) {
+    const duration remaining = state.health.gone_for(now);
+    if (remaining > duration{0}) {
+      out.push_back({id, remaining});
+    }
+  }
+  return out;
+}
+
 void dispatcher::forget_gone() {
   for (auto each = states_.begin(); each != states_.end();) {
     const bool gone = list_.find(each->first) == nullptr && each->second.running == 0;
--- a/src/dispatch/server_state.cpp
+++ b/src/dispatch/server_state.cpp
@@ -18,7 +18,7 @@
       return;
     case send_end::wrong_server:
       failures_.add(1.0, 1.0, now);
-      avoid_until_ = std::max(avoid_until_, now + gone_avoidance);
+      leave_for(gone_avoidance, now);
       return;
     case send_end::not_connected:
     case send_end::broken:
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -141,6 +141,7 @@
     message.list_age = now - list->read_at;
     message.list_digest = servers::digest_of(list->entries);
   }
+  message.absences = shared_.dispatcher.absences(now);
   message.paces = shared_.dispatcher.own_paces(paces_in_message);
   message.peers = shared_.peers.some_peers(now, shared_.random);
   return message;
@@ -162,6 +163,7 @@
   const time_point now = shared_.time.now();
   shared_.peers.heard(message, now);
   shared_.dispatcher.apply_peer_paces(message.paces, now);
+  shared_.dispatcher.apply_absences(message.absences, now);
   shared_.dispatcher.apply_peer_work(shared_.peers.work_of_peers(now));
   if (message.config) {
     known_.offer_config(*message.config, message.from.vm);
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -27,6 +27,7 @@
 
 json::object to_json(const peer& each);
 json::object to_json(const server_pace& pace);
+json::object to_json(const server_absence& absence);
 json::object to_json(const servers::server_entry& entry);
 
 template <class Range>
@@ -59,6 +60,10 @@
           {"long", rounded(pace.long_gap_ms)}};
 }
 
+json::object to_json(const server_absence& absence) {
+  return {{"server", absence.server}, {"remaining_ms", absence.remaining.ms}};
+}
+
 json::object to_json(const servers::server_entry& entry) {
   return {{"id", entry.id},
           {"born", entry.born_ms},
@@ -124,6 +129,14 @@
   return out;
 }
 
+server_absence read_absence(const json::object& object, bool& good) {
+  object_reader reader(object, good);
+  server_absence out;
+  out.server = reader->text("server");
+  out.remaining = {reader->integer("remaining_ms", any_count)};
+  return out;
+}
+
 servers::server_entry read_entry(const json::object& object, bool& good) {
   object_reader reader(object, good);
   servers::server_entry out;
@@ -162,6 +175,7 @@
                    {"list_age_ms", message.list_age.ms},
                    {"list_digest", std::to_string(message.list_digest)},
                    {"paces", to_array(message.paces)},
+                   {"absences", to_array(message.absences)},
                    {"peers", to_array(message.peers)}};
   if (message.config) {
     out["config"] = *message.config;
@@ -190,6 +204,9 @@
     for (const json::object* pace : reader->objects("paces", true)) {
       out.paces.push_back(read_pace(*pace, good));
     }
+    for (const json::object* absence : reader->objects("absences", true)) {
+      out.absences.push_back(read_absence(*absence, good));
+    }
     for (const json::object* each : reader->objects("peers", true)) {
       out.peers.push_back(read_peer(*each, good));
     }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -194,6 +194,25 @@
   }
 }
 
+// A third of the engines start again under new ids: each entry VM would have to be refused by each.
+TEST_THAT(dispatcher, leaves_a_server_that_another_entry_vm_found_gone) {
+  fleet_case fleet(18);
+  dispatcher first(fleet.list, "zg-istok", 1);
+  dispatcher second(fleet.list, "zg-istok", 2);
+  dispatcher third(fleet.list, "zg-istok", 3);
+  const auto prefixes = prompt_about(7, 1);
+  const placement home = fleet.choose(first, prefixes);
+  const sending sent = first.sent(home, prefixes, fleet.now);
+  first.ended(sent, send_end::wrong_server, fleet.now);
+  second.apply_absences(first.absences(fleet.now), fleet.now);
+  fleet.now = fleet.now + 1_s;
+  third.apply_absences(second.absences(fleet.now), fleet.now);
+  CPPUNIT_ASSERT(fleet.choose(third, prefixes).server.id != home.server.id);
+  fleet.now = fleet.now + 6_s;
+  CPPUNIT_ASSERT(third.absences(fleet.now).empty());
+  CPPUNIT_ASSERT_EQUAL(home.server.id, fleet.choose(third, prefixes).server.id);
+}
+
 TEST_THAT(dispatcher, keeps_callers_who_expect_short_pauses_from_a_server_with_long_ones) {
   fleet_case fleet(2);
   dispatcher entry(fleet.list, "zg-istok", 1);
