Go by fresh pauses of streams

An entry VM sends one server a stream in 20 s; its own value from before the burst went before what others saw now, and was told to them again and again.

Change: own gaps count for 2 s after the last one, then those of others do; only fresh ones are told. The times moved into a type of their own (stream_pace).

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -125,8 +125,9 @@
   void apply_peer_work(const std::map<std::string, relay::server_work, std::less<>>& work);
   /// What another entry VM has seen of servers' speed.
   void apply_peer_paces(std::span<const relay::server_pace> paces, time_point now);
-  /// \returns some of what this process has seen, each time the next in turn, at most `most`.
-  [[nodiscard]] std::vector<relay::server_pace> own_paces(std::size_t most);
+  /// \returns some of what this process has seen lately, each time the next in turn, at most
+  /// `most`.
+  [[nodiscard]] std::vector<relay::server_pace> own_paces(std::size_t most, time_point now);
   /// Servers that another entry VM found gone.
   void apply_absences(std::span<const relay::server_absence> absences, time_point now);
   /// \returns the servers that are passed over as gone, by own or others' sendings.
@@ -135,14 +136,14 @@
   void forget_gone();
   /// \returns own work by server, for peers.
   [[nodiscard]] std::vector<relay::server_work> own_work() const;
-  [[nodiscard]] std::vector<server_summary> summary() const;
+  [[nodiscard]] std::vector<server_summary> summary(time_point now) const;
 
  private:
   server_state& state_of(const servers::server_entry& server);
   server_state* state_of(const sending& what);
-  [[nodiscard]] double usual_gap_of_fleet() const;
+  [[nodiscard]] double usual_gap_of_fleet(time_point now) const;
   /// Time that one prompt token takes on a server, in ms.
-  [[nodiscard]] double token_ms(const server_state& state, double fleet_gap) const;
+  [[nodiscard]] double token_ms(const server_state& state, double fleet_gap, time_point now) const;
   /// \returns whether the server is passed over while others can take the request.
   [[nodiscard]] bool avoided(const servers::server_entry& server, time_point now);
   void weigh_engine(const placement_query& query, const servers::server_entry& server,
--- a/include/hawthornnotch/dispatch/server_state.h
+++ b/include/hawthornnotch/dispatch/server_state.h
@@ -72,14 +72,50 @@
   time_point gone_until_;
 };
 
+/// Times between the events of one server's streams, as seen here and by other entry VMs.
+///
+/// The load pattern it answers: a server's pauses follow the prompts that it reads at the moment,
+/// and in a large fleet each entry VM sends it a stream in many seconds only.  So own values count
+/// while they are fresh, and those of others after that.
+class stream_pace {
+ public:
+  /// An own stream's event came `gap_ms` after the one before.
+  void seen(double gap_ms, time_point now);
+  /// Another entry VM has just seen these times, in ms.
+  void heard(double usual_ms, double long_ms, time_point now);
+  /// \returns whether own streams have told enough, lately enough, to tell others.
+  [[nodiscard]] bool fresh(time_point now) const;
+  /// \returns the time between two events when nothing disturbs a stream, in ms; 0 if unknown.
+  [[nodiscard]] double usual_ms(time_point now) const;
+  /// \returns the time between two events that few exceed, in ms; 0 if unknown.
+  [[nodiscard]] double long_ms(time_point now) const;
+  /// \returns the mean time between two events, as the two others suggest, in ms; 0 if unknown.
+  [[nodiscard]] double mean_ms(time_point now) const;
+
+ private:
+  /// Own gaps that tell more than what others have seen.
+  static constexpr std::uint64_t enough_gaps = 40;
+  /// Age up to which own gaps are taken before what others have seen.
+  static constexpr duration own_lifetime{2'000};
+  /// Age at which what another entry VM has seen counts half.
+  static constexpr duration peer_half_life{3'000};
+  /// Weight of a mean's starting value: none, next to any sample.
+  static constexpr double no_weight = 0.0001;
+
+  [[nodiscard]] bool own_known() const { return usual_.count() >= enough_gaps; }
+  [[nodiscard]] bool by_own(time_point now) const;
+
+  running_quantile usual_{0.3};
+  running_quantile long_{0.95};
+  time_point last_seen_;
+  policy::decaying_mean peer_usual_{peer_half_life, 0.0, no_weight};
+  policy::decaying_mean peer_long_{peer_half_life, 0.0, no_weight};
+};
+
 /// Requests, speed, health and cache of one start of a backend server.
 struct server_state {
-  /// Age at which what another entry VM has seen counts half.
-  static constexpr duration pace_half_life{3'000};
   /// Weight of a mean's starting value: none, next to any sample.
   static constexpr double no_weight = 0.0001;
-  /// Own gaps between events that tell more than what others have seen.
-  static constexpr std::uint64_t enough_gaps = 40;
 
   /// Start that the state belongs to.
   std::int64_t born_ms = 0;
@@ -90,32 +126,12 @@
   /// The same of other entry VMs.
   std::uint32_t peer_running = 0;
   std::uint64_t peer_prefill_tokens = 0;
-  /// Time between two events of a stream when nothing disturbs it, in ms.
-  running_quantile usual_gap{0.3};
-  /// Time between two events that only few exceed, in ms.
-  running_quantile long_gap{0.95};
-  /// The same two times as other entry VMs have seen them.
-  policy::decaying_mean peer_usual_gap{pace_half_life, 0.0, no_weight};
-  policy::decaying_mean peer_long_gap{pace_half_life, 0.0, no_weight};
+  stream_pace pace;
   /// Time to the whole answer, for servers that are no engines, in ms.
   policy::decaying_mean answer_ms{duration{3'000}, 0.0, no_weight};
   server_health health;
   prefix_cache cache;
 
-  /// \returns the time between two events, seen here or else by others; 0 where it is unknown.
-  [[nodiscard]] double known_usual_gap() const {
-    return usual_gap.count() >= enough_gaps ? usual_gap.value() : peer_usual_gap.value();
-  }
-  /// \returns the time between two events that few exceed; 0 where it is unknown.
-  [[nodiscard]] double known_long_gap() const {
-    return long_gap.count() >= enough_gaps ? long_gap.value() : peer_long_gap.value();
-  }
-  /// \returns the mean time between two events, as the two quantiles suggest; 0 where it is
-  /// unknown.
-  [[nodiscard]] double known_mean_gap() const {
-    constexpr double part_of_long = 0.25;
-    return known_usual_gap() + part_of_long * (known_long_gap() - known_usual_gap());
-  }
   [[nodiscard]] std::uint32_t all_running() const { return running + peer_running; }
   [[nodiscard]] std::uint64_t all_prefill_tokens() const {
     return prefill_tokens + peer_prefill_tokens;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -86,9 +86,10 @@
   return ranks;
 }
 
-// \returns the probability that something that is estimated at `part` of its limit exceeds it.
-double exceeds(double part) {
-  return 1.0 / (1.0 + std::exp((half_late_part - part) / late_spread));
+// \returns the probability that something that is estimated at `part` of its limit exceeds it,
+// where at `half_part` one of two does.
+double exceeds(double part, double half_part = half_late_part) {
+  return 1.0 / (1.0 + std::exp((half_part - part) / late_spread));
 }
 
 double part_of(double ms, duration limit) {
@@ -144,12 +145,13 @@
   return same_start ? &found->second : nullptr;
 }
 
-double dispatcher::usual_gap_of_fleet() const {
+double dispatcher::usual_gap_of_fleet(time_point now) const {
   std::vector<double> gaps;
   gaps.reserve(states_.size());
   for (const auto& [id, state] : states_) {
-    if (state.known_usual_gap() > 0) {
-      gaps.push_back(state.known_usual_gap());
+    const double usual = state.pace.usual_ms(now);
+    if (usual > 0) {
+      gaps.push_back(usual);
     }
   }
   if (gaps.empty()) {
@@ -160,9 +162,9 @@
   return *middle;
 }
 
-double dispatcher::token_ms(const server_state& state, double fleet_gap) const {
+double dispatcher::token_ms(const server_state& state, double fleet_gap, time_point now) const {
   constexpr double fastest = 0.25;
-  const double gap = state.known_usual_gap();
+  const double gap = state.pace.usual_ms(now);
   const bool known = gap > 0 && fleet_gap > 0;
   const double slowness = known ? std::max(gap / fleet_gap, fastest) : 1.0;
   return slowness / tokens_per_ms_;
@@ -174,7 +176,7 @@
     return failed{placement_failure::no_server};
   }
   const bool is_engine = !query.prefixes.empty();
-  const double fleet_gap = is_engine ? usual_gap_of_fleet() : 0;
+  const double fleet_gap = is_engine ? usual_gap_of_fleet(query.now) : 0;
   std::vector<bool> is_avoided;
   is_avoided.reserve(candidates.size());
   for (const servers::server_entry* server : candidates) {
@@ -233,7 +235,7 @@
 
 double dispatcher::unfinished_share(const placement_query& query, const server_state& state,
                                     double first_event_ms) const {
-  const double gap = state.known_mean_gap();
+  const double gap = state.pace.mean_ms(query.now);
   if (gap <= 0 || query.expected_events <= 0) {
     return 0;
   }
@@ -248,7 +250,7 @@
   const std::uint32_t held = state.cache.held_tokens(query.prefixes);
   const double shared_unread = shared > held ? (shared - held) * unknown_part.at(out.rank) : 0.0;
   const double own_unread = static_cast<double>(whole - std::max(shared, held));
-  const double per_token = token_ms(state, fleet_gap);
+  const double per_token = token_ms(state, fleet_gap, query.now);
   const double waiting = static_cast<double>(state.all_prefill_tokens()) * per_token;
   const double taken = static_cast<double>(state.all_running()) / std::max(1U, server.slots);
 
@@ -259,7 +261,7 @@
   out.uncached_tokens = static_cast<std::uint32_t>(shared_unread + own_unread);
   out.expected_ms = waiting + out.uncached_tokens * per_token;
   const double slowness = part_of(out.expected_ms, query.target_latency);
-  const double pause = part_of(state.known_long_gap(), query.target_gap);
+  const double pause = part_of(state.pace.long_ms(query.now), query.target_gap);
   const double in_time = (1.0 - exceeds(slowness)) * (1.0 - exceeds(pause));
   constexpr double tokens_per_unit = 1'000.0;
 
@@ -311,8 +313,7 @@
     state->prefill_tokens -= std::min<std::uint64_t>(state->prefill_tokens, what.uncached_tokens);
   } else {
     const double gap = static_cast<double>((now - what.last_event_at).ms) / count;
-    state->usual_gap.add(gap);
-    state->long_gap.add(gap);
+    state->pace.seen(gap, now);
   }
   what.last_event_at = now;
 }
@@ -381,13 +382,11 @@
     if (server == nullptr || server->born_ms != pace.born_ms) {
       continue;
     }
-    server_state& state = state_of(*server);
-    state.peer_usual_gap.add(pace.usual_gap_ms, 1.0, now);
-    state.peer_long_gap.add(pace.long_gap_ms, 1.0, now);
+    state_of(*server).pace.heard(pace.usual_gap_ms, pace.long_gap_ms, now);
   }
 }
 
-std::vector<relay::server_pace> dispatcher::own_paces(std::size_t most) {
+std::vector<relay::server_pace> dispatcher::own_paces(std::size_t most, time_point now) {
   std::vector<relay::server_pace> out;
   auto each = states_.upper_bound(last_pace_);
   for (std::size_t seen = 0; seen < states_.size() && out.size() < most; ++seen) {
@@ -395,8 +394,9 @@
       each = states_.begin();
     }
     const server_state& state = each->second;
-    if (state.usual_gap.count() >= server_state::enough_gaps) {
-      out.push_back({each->first, state.born_ms, state.usual_gap.value(), state.long_gap.value()});
+    if (state.pace.fresh(now)) {
+      out.push_back(
+          {each->first, state.born_ms, state.pace.usual_ms(now), state.pace.long_ms(now)});
     }
     last_pace_ = each->first;
     ++each;
@@ -441,10 +441,10 @@
   return out;
 }
 
-std::vector<server_summary> dispatcher::summary() const {
+std::vector<server_summary> dispatcher::summary(time_point now) const {
   std::vector<server_summary> out;
   for (const auto& [id, state] : states_) {
-    out.push_back({id, state.all_running(), state.all_prefill_tokens(), state.known_usual_gap(),
+    out.push_back({id, state.all_running(), state.all_prefill_tokens(), state.pace.usual_ms(now),
                    state.health.failure_share()});
   }
   return out;
--- a/src/dispatch/server_state.cpp
+++ b/src/dispatch/server_state.cpp
@@ -33,4 +33,37 @@
   avoid_until_ = std::max(avoid_until_, now + std::min(pause, longest_avoidance));
 }
 
+void stream_pace::seen(double gap_ms, time_point now) {
+  usual_.add(gap_ms);
+  long_.add(gap_ms);
+  last_seen_ = now;
+}
+
+void stream_pace::heard(double usual_ms, double long_ms, time_point now) {
+  peer_usual_.add(usual_ms, 1.0, now);
+  peer_long_.add(long_ms, 1.0, now);
+}
+
+bool stream_pace::fresh(time_point now) const {
+  return own_known() && now - last_seen_ <= own_lifetime;
+}
+
+bool stream_pace::by_own(time_point now) const {
+  const bool others_know = peer_usual_.value() > 0;
+  return fresh(now) || (own_known() && !others_know);
+}
+
+double stream_pace::usual_ms(time_point now) const {
+  return by_own(now) ? usual_.value() : peer_usual_.value();
+}
+
+double stream_pace::long_ms(time_point now) const {
+  return by_own(now) ? long_.value() : peer_long_.value();
+}
+
+double stream_pace::mean_ms(time_point now) const {
+  constexpr double part_of_long = 0.25;
+  return usual_ms(now) + part_of_long * (long_ms(now) - usual_ms(now));
+}
+
 }  // namespace hawthornnotch::dispatch
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -215,7 +215,7 @@
                 static_cast<double>(callers_->open_connections()));
     shown.gauge("hawthornnotch_dropped_log_lines", {},
                 static_cast<double>(observe::dropped_lines()));
-    for (const dispatch::server_summary& server : shared_.dispatcher.summary()) {
+    for (const dispatch::server_summary& server : shared_.dispatcher.summary(now)) {
       shown.gauge("hawthornnotch_server_running", {{"server", server.id}}, server.running);
       shown.gauge("hawthornnotch_server_prefill_tokens", {{"server", server.id}},
                   static_cast<double>(server.prefill_tokens));
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -142,7 +142,7 @@
     message.list_digest = servers::digest_of(list->entries);
   }
   message.absences = shared_.dispatcher.absences(now);
-  message.paces = shared_.dispatcher.own_paces(paces_in_message);
+  message.paces = shared_.dispatcher.own_paces(paces_in_message, now);
   message.peers = shared_.peers.some_peers(now, shared_.random);
   return message;
 }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -269,10 +269,30 @@
     first.events(sent, 1, fleet.now);
   }
   CPPUNIT_ASSERT_EQUAL(home.server.id, fleet.choose(second, prefixes).server.id);
-  second.apply_peer_paces(first.own_paces(10), fleet.now);
+  second.apply_peer_paces(first.own_paces(10, fleet.now), fleet.now);
   CPPUNIT_ASSERT(fleet.choose(second, prefixes).server.id != home.server.id);
 }
 
+// In a large fleet a server's own last stream may be long ago, from before a burst.
+TEST_THAT(dispatcher, goes_by_what_others_see_now_rather_than_by_what_it_saw_before) {
+  fleet_case fleet(2);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  const auto prefixes = prompt_about(7, 1);
+  const placement home = fleet.choose(entry, prefixes);
+  sending sent = entry.sent(home, prefixes, fleet.now);
+  for (int event = 0; event < 100; ++event) {
+    fleet.now = fleet.now + 20_ms;
+    entry.events(sent, 1, fleet.now);
+  }
+  entry.ended(sent, send_end::completed, fleet.now);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.own_paces(10, fleet.now).size());
+  fleet.now = fleet.now + 10_s;
+  CPPUNIT_ASSERT(entry.own_paces(10, fleet.now).empty());
+  const std::vector<relay::server_pace> heard = {{home.server.id, 1, 200.0, 1'500.0}};
+  entry.apply_peer_paces(heard, fleet.now);
+  CPPUNIT_ASSERT(fleet.choose(entry, prefixes).server.id != home.server.id);
+}
+
 TEST_THAT(dispatcher, tells_the_speeds_of_all_servers_in_turn) {
   fleet_case fleet(5);
   dispatcher entry(fleet.list, "zg-istok", 1);
@@ -286,7 +306,7 @@
   }
   std::set<std::string> told;
   for (int message = 0; message < 3; ++message) {
-    for (const relay::server_pace& pace : entry.own_paces(2)) {
+    for (const relay::server_pace& pace : entry.own_paces(2, fleet.now)) {
       told.insert(pace.server);
     }
   }
