--- a/include/hawthornnotch/routes/routing_config.h
+++ b/include/hawthornnotch/routes/routing_config.h
@@ -49,8 +49,6 @@
   std::vector<weighted_service> services;
   /// True where no API key is asked for.
   bool anonymous = false;
-  /// True where requests name the parts of their prompts.
-  bool prompt_affinity = false;
   /// True where a stream may go on at another backend server behind its last event.
   bool resumable = false;
 };
@@ -59,16 +57,12 @@
 struct engine_profile {
   /// Requests that an engine runs side by side.
   std::uint32_t slots = 0;
-  /// Tokens that its KV cache holds.
-  std::uint64_t cache_tokens = 0;
   /// Tokens in one event of a stream.
   std::uint32_t tokens_per_event = 1;
 };
 
 struct service_definition {
   std::string name;
-  /// Connections that one backend server accepts from all callers together.
-  std::uint32_t max_connections = 0;
   /// Set where the backend servers are model engines.
   std::optional<engine_profile> engine;
 };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -86,10 +86,9 @@
   return ranks;
 }
 
-// \returns the probability that something that is estimated at `part` of its limit exceeds it,
-// where at `half_part` one of two does.
-double exceeds(double part, double half_part = half_late_part) {
-  return 1.0 / (1.0 + std::exp((half_part - part) / late_spread));
+// \returns the probability that something that is estimated at `part` of its limit exceeds it.
+double exceeds(double part) {
+  return 1.0 / (1.0 + std::exp((half_late_part - part) / late_spread));
 }
 
 double part_of(double ms, duration limit) {
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -43,6 +43,8 @@
   void prepare();
   [[nodiscard]] bool may_run_again() const;
   [[nodiscard]] duration left() const;
+  // \returns whether enough time is left to send the request to a server.
+  [[nodiscard]] bool time_to_send() const;
   [[nodiscard]] bool over() const { return caller_left_ || time_over_; }
   void watch_caller();
   void watch_time();
