Never block on a socket that the event loop wrongly took for readable

Cause: while a request is handled, the server waits for its connection to become readable and then peeks, to notice a caller that leaves. The event loop may report a connection as readable whose bytes were read meanwhile by a read of their own. The socket was in blocking mode, so the peek then waited for bytes of a caller that itself waited for its answer, and held the thread: the call ended by its 30 s time-out, or the thread was never free again for a stop to join.

Ruled out: lost stops (begin_stop before run), claims that never settle (the two loops on in_progress): the failed calls were ones without any such loop.

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -2,19 +2,12 @@
 
 #include <algorithm>
 
+#include "socket_peek.h"
+
 namespace hawthornnotch::net::internal {
 
 namespace {
 
-// An idle connection with anything to read is closed or out of step with its peer.
-bool is_quiet(tcp::socket& socket) {
-  char byte = 0;
-  error_code error;
-  socket.non_blocking(true, error);
-  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error == asio::error::would_block;
-}
-
 // A socket stays bound to the strand it was made on, so it is made anew from its handle.
 std::optional<tcp::socket> move_to(tcp::socket idle, const asio::any_io_executor& executor) {
   error_code error;
@@ -53,7 +46,8 @@
 std::optional<tcp::socket> connection_pool::take(const endpoint& to,
                                                  const asio::any_io_executor& executor) {
   while (auto idle = take_any(to)) {
-    if (is_quiet(*idle)) {
+    // Anything to read: the peer closed it, or is out of step.
+    if (peek(*idle) == arrival::none) {
       return move_to(std::move(*idle), executor);
     }
   }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -8,6 +8,8 @@
 #include <optional>
 #include <tuple>
 
+#include "socket_peek.h"
+
 namespace hawthornnotch::net::internal {
 
 namespace {
@@ -67,15 +69,7 @@
     // A cancelled wait may complete after the next one has begun; its own flag tells it apart.
     armed_ = std::make_shared<bool>(true);
     gone_ = false;
-    socket.async_wait(tcp::socket::wait_read, [this, &socket, armed = armed_](error_code error) {
-      if (!*armed) {
-        return;
-      }
-      if (error || at_end(socket)) {
-        gone_ = true;
-        notify();
-      }
-    });
+    wait(socket);
   }
   void stop(tcp::socket& socket) {
     *armed_ = false;
@@ -94,12 +88,19 @@
   ~departure_watch() { *armed_ = false; }
 
  private:
-  static bool at_end(tcp::socket& socket) {
-    char byte = 0;
-    error_code error;
-    const std::size_t count =
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return (error && error != asio::error::would_block) || (!error && count == 0);
+  void wait(tcp::socket& socket) {
+    socket.async_wait(tcp::socket::wait_read, [this, &socket, armed = armed_](error_code error) {
+      if (!*armed) {
+        return;
+      }
+      const arrival seen = error ? arrival::end : peek(socket);
+      if (seen == arrival::end) {
+        gone_ = true;
+        notify();
+      } else if (seen == arrival::none) {
+        wait(socket);
+      }
+    });
   }
   void notify() {
     auto callback = std::exchange(callback_, nullptr);
--- a/tests/router/router_test.cpp
+++ b/tests/router/router_test.cpp
@@ -24,6 +24,20 @@
   return boost::json::parse(counters.body).at("requests").to_number<std::uint64_t>();
 }
 
+// The answer's last byte reaches the caller before the router can note that it has left, so the
+// last step may be missing at first.
+net::http_response explained_to_its_end(router_fixture& fixture, const std::string& id) {
+  constexpr int most_questions = 10'000;
+  net::http_response explained;
+  for (int question = 0; question < most_questions; ++question) {
+    explained = fixture.operate("GET", "/explain/" + id);
+    if (explained.body.find("\"ended\"") != std::string::npos) {
+      break;
+    }
+  }
+  return explained;
+}
+
 TEST_THAT(router, is_not_ready_and_refuses_before_it_has_a_configuration) {
   router_fixture fixture;
   CPPUNIT_ASSERT_EQUAL(503U, fixture.operate("GET", "/readyz").status);
@@ -175,7 +189,7 @@
   fixture.configure();
   const auto answer = fixture.chat("chat", hello);
   const std::string id(answer.header("x-request-id").value_or(""));
-  const auto explained = fixture.operate("GET", "/explain/" + id);
+  const auto explained = explained_to_its_end(fixture, id);
   for (const char* step : {"accepted", "queued", "assigned", "ended"}) {
     CPPUNIT_ASSERT_MESSAGE(explained.body, explained.body.find(step) != std::string::npos);
   }
