--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -4,10 +4,13 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 folder=${1:-build}
+# The slowest program takes a minute.  One that takes this long hangs: it is ended and counts as
+# failed, and the last test it named is the one that hung.
+longest_program_seconds=600
 passed=0; failed=0
 while read -r program; do
   [ -z "$program" ] && continue
-  output=$("$folder/$program" --known-red KNOWN-RED.txt 2>&1); code=$?
+  output=$(timeout --kill-after=10 "$longest_program_seconds" "$folder/$program" --known-red KNOWN-RED.txt 2>&1); code=$?
   line=$(echo "$output" | grep -E '^[0-9]+ passed, [0-9]+ failed' | tail -1)
   if [ -z "$line" ]; then
     echo "$output" | tail -40; echo "$program ended with code $code and no count"
--- a/tests/support/main.cpp
+++ b/tests/support/main.cpp
@@ -33,7 +33,11 @@
  public:
   explicit counting_listener(std::set<std::string> known_red) : known_red_(std::move(known_red)) {}
 
-  void startTest(CppUnit::Test* /*test*/) override { current_failed_ = false; }
+  // Names the test at once, so that the output of a program that was ended tells where it hung.
+  void startTest(CppUnit::Test* test) override {
+    current_failed_ = false;
+    std::cout << "running " << test->getName() << std::endl;
+  }
 
   void addFailure(const CppUnit::TestFailure& failure) override {
     current_failed_ = true;
