Do not let a reading of the server list grow younger as it goes round

Peers pass a reading on with its age; the time of the message is not in that age, so each hop makes the same reading look younger, and the younger copy was taken for a later reading, by the reader too.

Now a reading has an identity, and of two ages of one reading the greater holds. That also saves merging the whole list and hashing its entries for copies of what is known.

Test red first: server_list::does_not_take_a_copy_of_a_reading_for_a_later_one.

--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -64,6 +64,8 @@
   std::int64_t config_version = 0;
   /// Revision of the sender's newest reading of the server list; 0 for none.
   std::int64_t list_revision = 0;
+  /// Its `list_reading::id`.
+  std::uint64_t list_id = 0;
   /// Age of that reading when the message was sent.
   duration list_age;
   /// `digest_of` its entries.
--- a/include/hawthornnotch/servers/server_list.h
+++ b/include/hawthornnotch/servers/server_list.h
@@ -17,6 +17,8 @@
 
 /// One whole reading of the platform's list.
 struct list_reading {
+  /// Drawn by the process that read it; the same in every copy that is passed on.
+  std::uint64_t id = 0;
   /// Store revision at which it was read.
   std::int64_t revision = 0;
   /// When it was read, by this process's monotonic clock.
@@ -54,15 +56,23 @@
  public:
   explicit server_list(server_list_settings settings) : settings_(settings) {}
 
-  /// A reading by this process or by a peer.  One that is older than what is known is ignored.
+  /// A reading by this process or by a peer.  One that is older than what is known is ignored; of
+  /// a copy of the newest one only the age is looked at (`note_copy`).
   list_change apply(const list_reading& reading, time_point now);
 
+  /// Takes in how old a peer says a reading is.  An age that is passed on lacks the time on the
+  /// way, so of two ages of one reading the greater is nearer the truth.
+  /// \returns whether that reading is the newest one known here.
+  bool note_copy(std::uint64_t id, time_point read_at);
+
   /// \returns the servers of a service that may get new work; valid until the next `apply`.
   [[nodiscard]] const std::vector<const server_entry*>& serving(std::string_view service) const;
   /// \returns the known entry, also of a server that leaves, or null.
   [[nodiscard]] const server_entry* find(std::string_view id) const;
   /// The newest reading, without the entries kept over an outage; none before the first.
   [[nodiscard]] const std::optional<list_reading>& newest() const { return newest_; }
+  /// `digest_of` the newest reading's entries; 0 before the first.
+  [[nodiscard]] std::uint64_t digest() const { return digest_; }
   /// \returns how old the newest reading is; none before the first.
   [[nodiscard]] std::optional<duration> age(time_point now) const;
   [[nodiscard]] std::size_t size() const { return known_.size(); }
@@ -83,6 +93,7 @@
 
   server_list_settings settings_;
   std::optional<list_reading> newest_;
+  std::uint64_t digest_ = 0;
   /// Missing entries are kept until then.
   time_point keep_missing_until_;
   std::map<std::string, known_server, std::less<>> known_;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -138,8 +138,9 @@
   message.config_version = shared_.config.version();
   if (const auto& list = shared_.servers.newest()) {
     message.list_revision = list->revision;
+    message.list_id = list->id;
     message.list_age = now - list->read_at;
-    message.list_digest = servers::digest_of(list->entries);
+    message.list_digest = shared_.servers.digest();
   }
   message.absences = shared_.dispatcher.absences(now);
   message.paces = shared_.dispatcher.own_paces(paces_in_message, now);
@@ -174,8 +175,12 @@
 void peer_link::take_list(const relay::exchange_message& message) {
   const auto& own = shared_.servers.newest();
   servers::list_reading reading;
+  reading.id = message.list_id;
   reading.revision = message.list_revision;
   reading.read_at = shared_.time.now() - message.list_age;
+  if (shared_.servers.note_copy(reading.id, reading.read_at)) {
+    return;
+  }
   // The store's revision stands still while nothing changes: then the later reading is newer.
   const bool newer = !own || reading.revision > own->revision ||
                      (reading.revision == own->revision && reading.read_at > own->read_at);
@@ -184,7 +189,7 @@
   }
   if (message.list) {
     reading.entries = *message.list;
-  } else if (own && servers::digest_of(own->entries) == message.list_digest) {
+  } else if (own && shared_.servers.digest() == message.list_digest) {
     reading.entries = own->entries;
   } else {
     return;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -200,6 +200,7 @@
     }
     store_list_.succeeded();
     servers::list_reading reading;
+    reading.id = shared_.random.engine()();
     reading.revision = answer->revision;
     reading.read_at = asked_at;
     for (const platform::key_value& each : answer->found) {
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -172,6 +172,7 @@
   json::object out{{"from", to_json(message.from)},
                    {"config_version", message.config_version},
                    {"list_revision", message.list_revision},
+                   {"list_id", std::to_string(message.list_id)},
                    {"list_age_ms", message.list_age.ms},
                    {"list_digest", std::to_string(message.list_digest)},
                    {"paces", to_array(message.paces)},
@@ -213,6 +214,7 @@
     if (reader->has("config")) {
       out.config = reader->text("config");
     }
+    good = good && read_number(reader->text("list_id"), out.list_id);
     good = good && read_number(reader->text("list_digest"), out.list_digest);
     if (reader->has("list")) {
       out.list.emplace();
--- a/src/servers/server_list.cpp
+++ b/src/servers/server_list.cpp
@@ -7,6 +7,9 @@
 
 list_change server_list::apply(const list_reading& reading, time_point /*now*/) {
   list_change change;
+  if (note_copy(reading.id, reading.read_at)) {
+    return change;
+  }
   if (newest_ && reading.revision < newest_->revision) {
     return change;
   }
@@ -17,6 +20,7 @@
       newest_ ? std::max(newest_->read_at, reading.read_at) : reading.read_at;
   newest_ = reading;
   newest_->read_at = newest_read_at;
+  digest_ = digest_of(newest_->entries);
   if (!change.empty()) {
     ++version_;
   }
@@ -24,6 +28,14 @@
   return change;
 }
 
+bool server_list::note_copy(std::uint64_t id, time_point read_at) {
+  if (!newest_ || newest_->id != id) {
+    return false;
+  }
+  newest_->read_at = std::min(newest_->read_at, read_at);
+  return true;
+}
+
 // A long time without a reading means that the store was away, and that leases may have lapsed.
 void server_list::note_gap(const list_reading& reading) {
   if (newest_ && reading.read_at - newest_->read_at > settings_.outage) {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -36,6 +36,7 @@
   exchange_message message = message_from(make_peer("a", 77));
   message.config_version = 12;
   message.list_revision = 900;
+  message.list_id = 0x0123'4567'89AB'CDEFULL;
   message.list_age = 250_ms;
   message.list_digest = 0xFEDC'BA98'7654'3210ULL;
   message.from.work = {{"s1", 3, 17'000}};
@@ -54,6 +55,7 @@
   const auto decoded = decode(encode(message));
   CPPUNIT_ASSERT(decoded.has_value());
   CPPUNIT_ASSERT_EQUAL(message.from.heartbeat, decoded->from.heartbeat);
+  CPPUNIT_ASSERT_EQUAL(message.list_id, decoded->list_id);
   CPPUNIT_ASSERT_EQUAL(message.list_digest, decoded->list_digest);
   CPPUNIT_ASSERT_EQUAL(message.from.work.front().prefill_tokens,
                        decoded->from.work.front().prefill_tokens);
--- a/tests/servers/server_list_test.cpp
+++ b/tests/servers/server_list_test.cpp
@@ -21,7 +21,7 @@
   // Reads the list `after` the reading before.
   list_change read(std::vector<server_entry> entries, duration after = 500_ms) {
     now_ = now_ + after;
-    return list.apply({++revision_, now_, std::move(entries)}, now_);
+    return list.apply({++id_, ++revision_, now_, std::move(entries)}, now_);
   }
   [[nodiscard]] std::size_t serving() const { return list.serving("forecast").size(); }
   server_list list{server_list_settings{}};
@@ -29,6 +29,7 @@
  private:
   time_point now_{1'000'000};
   std::int64_t revision_ = 10;
+  std::uint64_t id_ = 0;
 };
 
 TEST_THAT(server_list, gives_no_work_to_a_server_that_leaves_and_never_again_in_that_start) {
@@ -76,10 +77,30 @@
 TEST_THAT(server_list, ignores_a_reading_older_than_what_it_knows) {
   list_case test;
   test.read({make_entry("a"), make_entry("b")});
-  const list_change change = test.list.apply({3, {1'000'000}, {make_entry("a")}}, {1'000'500});
+  const list_change change = test.list.apply({3, 3, {1'000'000}, {make_entry("a")}}, {1'000'500});
   CPPUNIT_ASSERT(change.empty());
   CPPUNIT_ASSERT_EQUAL(std::size_t{2}, test.serving());
 }
 
+// Each entry VM that passes a reading on loses the time that the message took, so a copy that has
+// gone round looks younger than the reading is.
+TEST_THAT(server_list, does_not_take_a_copy_of_a_reading_for_a_later_one) {
+  server_list list{server_list_settings{}};
+  const list_reading read{7, 10, {1'000'000}, {make_entry("a")}};
+  list.apply(read, {1'000'000});
+  list_reading copy = read;
+  copy.read_at = {1'000'300};
+  list.apply(copy, {1'000'900});
+  CPPUNIT_ASSERT(list.age({1'001'000}) == 1_s);
+  copy.read_at = {999'900};
+  list.apply(copy, {1'001'000});
+  CPPUNIT_ASSERT(list.age({1'001'000}) == 1_s + 100_ms);
+  list_reading later = read;
+  later.id = 8;
+  later.read_at = {1'001'000};
+  list.apply(later, {1'001'000});
+  CPPUNIT_ASSERT(list.age({1'001'000}) == 0_ms);
+}
+
 }  // namespace
 }  // namespace hawthornnotch::servers
