--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -21,6 +21,10 @@
 
 namespace hawthornnotch::dispatch {
 
+namespace internal {
+struct candidate;
+}
+
 /// What the choice depends on.
 struct placement_query {
   std::string_view service;
@@ -145,11 +149,14 @@
   /// Time that one prompt token takes on a server, in ms.
   [[nodiscard]] double token_ms(const server_state& state, double fleet_gap, time_point now) const;
   /// \returns whether the server is passed over while others can take the request.
-  [[nodiscard]] bool avoided(const servers::server_entry& server, time_point now);
-  void weigh_engine(const placement_query& query, const servers::server_entry& server,
-                    double fleet_gap, placement& out);
-  void weigh_service(const placement_query& query, const servers::server_entry& server,
-                     placement& out);
+  [[nodiscard]] bool avoided(const servers::server_entry& server, const server_state& state,
+                             time_point now) const;
+  /// \returns the servers of the query's service, not ranked yet.
+  std::vector<internal::candidate> candidates_for(const placement_query& query);
+  void weigh_engine(const placement_query& query, const internal::candidate& at, double fleet_gap,
+                    placement& out) const;
+  void weigh_service(const placement_query& query, const internal::candidate& at,
+                     placement& out) const;
   /// \returns the probability that the answer is not whole when its time is over.
   [[nodiscard]] double unfinished_share(const placement_query& query, const server_state& state,
                                         double first_event_ms) const;
--- a/include/hawthornnotch/dispatch/server_state.h
+++ b/include/hawthornnotch/dispatch/server_state.h
@@ -13,6 +13,9 @@
 
 namespace hawthornnotch::dispatch {
 
+/// Weight of a mean's starting value: none, next to any sample.
+inline constexpr double no_weight = 0.0001;
+
 /// How one sending of a request ended.
 enum class send_end : std::uint8_t {
   completed,
@@ -99,9 +102,6 @@
   static constexpr duration own_lifetime{2'000};
   /// Age at which what another entry VM has seen counts half.
   static constexpr duration peer_half_life{3'000};
-  /// Weight of a mean's starting value: none, next to any sample.
-  static constexpr double no_weight = 0.0001;
-
   [[nodiscard]] bool own_known() const { return usual_.count() >= enough_gaps; }
   [[nodiscard]] bool by_own(time_point now) const;
 
@@ -114,9 +114,6 @@
 
 /// Requests, speed, health and cache of one start of a backend server.
 struct server_state {
-  /// Weight of a mean's starting value: none, next to any sample.
-  static constexpr double no_weight = 0.0001;
-
   /// Start that the state belongs to.
   std::int64_t born_ms = 0;
   /// Own requests sent and not ended.
--- /dev/null
+++ b/src/dispatch/candidate.cpp
@@ -0,0 +1,48 @@
+#include "candidate.h"
+
+#include <algorithm>
+
+#include "hawthornnotch/base/hash.h"
+
+namespace hawthornnotch::dispatch::internal {
+
+namespace {
+
+struct placed {
+  std::uint64_t affinity = 0;
+  candidate* whose = nullptr;
+};
+
+}  // namespace
+
+void rank_by_rendezvous(std::span<candidate> candidates, std::uint64_t prefix) {
+  std::vector<placed> order;
+  order.reserve(candidates.size());
+  for (candidate& each : candidates) {
+    each.rank = last_rank;
+    if (!each.avoided) {
+      order.push_back({stable_hash(each.server->id, prefix), &each});
+    }
+  }
+  const std::size_t sorted = std::min<std::size_t>(last_rank, order.size());
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(sorted), order.end(),
+                    [](const placed& a, const placed& b) { return a.affinity > b.affinity; });
+  for (std::uint32_t rank = 0; rank < sorted; ++rank) {
+    order[rank].whose->rank = rank;
+  }
+}
+
+std::vector<endpoint> holders(std::span<const candidate> candidates) {
+  constexpr std::uint32_t count = 2;
+  std::vector<endpoint> out;
+  for (std::uint32_t rank = 0; rank < count; ++rank) {
+    const auto found = std::find_if(candidates.begin(), candidates.end(),
+                                    [&](const candidate& each) { return each.rank == rank; });
+    if (found != candidates.end()) {
+      out.push_back(found->server->address);
+    }
+  }
+  return out;
+}
+
+}  // namespace hawthornnotch::dispatch::internal
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <cmath>
 
-#include "hawthornnotch/base/hash.h"
+#include "candidate.h"
 
 namespace hawthornnotch::dispatch {
 
@@ -52,39 +52,8 @@
 /// Time of an answer of a service that is no engine, assumed until one was timed, in ms.
 constexpr double assumed_answer_ms = 20.0;
 
-/// All servers from this place of the rendezvous order on are alike.
-constexpr std::uint32_t last_rank = unknown_part.size() - 1;
-
-std::uint64_t affinity(std::uint64_t prefix, std::string_view server) {
-  return stable_hash(server, prefix);
-}
-
-struct ranked {
-  std::uint64_t affinity = 0;
-  std::uint32_t index = 0;
-};
-
-// The rank of each server in the rendezvous order of a prefix, counted over those that are not
-// avoided; ranks beyond the last entry of `unknown_part` are equal.
-std::vector<std::uint32_t> ranks_for(std::uint64_t prefix,
-                                     std::span<const servers::server_entry* const> candidates,
-                                     const std::vector<bool>& avoided) {
-  std::vector<ranked> order;
-  order.reserve(candidates.size());
-  for (std::uint32_t index = 0; index < candidates.size(); ++index) {
-    if (!avoided[index]) {
-      order.push_back({affinity(prefix, candidates[index]->id), index});
-    }
-  }
-  const std::size_t sorted = std::min<std::size_t>(last_rank, order.size());
-  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(sorted), order.end(),
-                    [](const ranked& a, const ranked& b) { return a.affinity > b.affinity; });
-  std::vector<std::uint32_t> ranks(candidates.size(), last_rank);
-  for (std::uint32_t rank = 0; rank < sorted; ++rank) {
-    ranks[order[rank].index] = rank;
-  }
-  return ranks;
-}
+static_assert(unknown_part.size() == internal::last_rank + 1);
+static_assert(reread_part.size() == unknown_part.size());
 
 // \returns the probability that something that is estimated at `part` of its limit exceeds it.
 double exceeds(double part) {
@@ -95,20 +64,6 @@
   return limit.ms > 0 ? ms / static_cast<double>(limit.ms) : 0.0;
 }
 
-// The servers that most probably hold the shared parts: the first two of the rendezvous order.
-std::vector<endpoint> holders(std::span<const servers::server_entry* const> candidates,
-                              std::span<const std::uint32_t> ranks) {
-  constexpr std::uint32_t count = 2;
-  std::vector<endpoint> out;
-  for (std::uint32_t rank = 0; rank < count; ++rank) {
-    const auto found = std::find(ranks.begin(), ranks.end(), rank);
-    if (found != ranks.end()) {
-      out.push_back(candidates[static_cast<std::size_t>(found - ranks.begin())]->address);
-    }
-  }
-  return out;
-}
-
 std::optional<endpoint> first_besides(const endpoint& target, std::span<const endpoint> holders) {
   const auto found = std::find_if(holders.begin(), holders.end(),
                                   [&](const endpoint& each) { return each != target; });
@@ -169,59 +124,62 @@
   return slowness / tokens_per_ms_;
 }
 
+std::vector<internal::candidate> dispatcher::candidates_for(const placement_query& query) {
+  std::vector<internal::candidate> out;
+  for (const servers::server_entry* server : list_.serving(query.service)) {
+    const server_state& state = state_of(*server);
+    out.push_back({server, &state, avoided(*server, state, query.now)});
+  }
+  return out;
+}
+
 result<placement, placement_failure> dispatcher::choose(const placement_query& query) {
-  const auto& candidates = list_.serving(query.service);
+  std::vector<internal::candidate> candidates = candidates_for(query);
   if (candidates.empty()) {
     return failed{placement_failure::no_server};
   }
   const bool is_engine = !query.prefixes.empty();
-  const double fleet_gap = is_engine ? usual_gap_of_fleet(query.now) : 0;
-  std::vector<bool> is_avoided;
-  is_avoided.reserve(candidates.size());
-  for (const servers::server_entry* server : candidates) {
-    is_avoided.push_back(avoided(*server, query.now));
-  }
-  std::vector<std::uint32_t> ranks(candidates.size(), 0);
+  double fleet_gap = 0;
   std::vector<endpoint> sources;
   if (is_engine) {
-    ranks = ranks_for(shared_prefix(query.prefixes).hash, candidates, is_avoided);
-    sources = holders(candidates, ranks);
+    fleet_gap = usual_gap_of_fleet(query.now);
+    internal::rank_by_rendezvous(candidates, shared_prefix(query.prefixes).hash);
+    sources = internal::holders(candidates);
   }
   placement best;
-  const servers::server_entry* best_server = nullptr;
-  bool best_avoided = false;
-  for (std::uint32_t index = 0; index < candidates.size(); ++index) {
-    const servers::server_entry& server = *candidates[index];
-    if (std::find(query.tried.begin(), query.tried.end(), server.id) != query.tried.end()) {
+  const internal::candidate* chosen = nullptr;
+  for (const internal::candidate& each : candidates) {
+    const auto& tried = query.tried;
+    if (std::find(tried.begin(), tried.end(), each.server->id) != tried.end()) {
       continue;
     }
     placement next;
-    next.rank = ranks[index];
+    next.rank = each.rank;
     if (is_engine) {
-      next.fetch_from = first_besides(server.address, sources);
-      weigh_engine(query, server, fleet_gap, next);
+      next.fetch_from = first_besides(each.server->address, sources);
+      weigh_engine(query, each, fleet_gap, next);
     } else {
-      weigh_service(query, server, next);
+      weigh_service(query, each, next);
     }
     next.loss += random_.unit() * spread_loss;
-    const bool better = best_server == nullptr || (best_avoided && !is_avoided[index]) ||
-                        (best_avoided == is_avoided[index] && next.loss < best.loss);
+    const bool better = chosen == nullptr || (chosen->avoided && !each.avoided) ||
+                        (chosen->avoided == each.avoided && next.loss < best.loss);
     if (better) {
       best = std::move(next);
-      best_server = &server;
-      best_avoided = is_avoided[index];
+      chosen = &each;
     }
   }
-  if (best_server == nullptr) {
+  if (chosen == nullptr) {
     return failed{placement_failure::none_left};
   }
-  best.server = *best_server;
+  best.server = *chosen->server;
   best.candidates = static_cast<std::uint32_t>(candidates.size());
   return best;
 }
 
-bool dispatcher::avoided(const servers::server_entry& server, time_point now) {
-  return state_of(server).health.avoided(now) ||
+bool dispatcher::avoided(const servers::server_entry& server, const server_state& state,
+                         time_point now) const {
+  return state.health.avoided(now) ||
          unreachable_share(server.failure_domain, now) > most_unreachable;
 }
 
@@ -241,9 +199,10 @@
   return exceeds(part_of(first_event_ms + query.expected_events * gap, query.time_left));
 }
 
-void dispatcher::weigh_engine(const placement_query& query, const servers::server_entry& server,
-                              double fleet_gap, placement& out) {
-  const server_state& state = state_of(server);
+void dispatcher::weigh_engine(const placement_query& query, const internal::candidate& at,
+                              double fleet_gap, placement& out) const {
+  const servers::server_entry& server = *at.server;
+  const server_state& state = *at.state;
   const std::uint32_t whole = query.prefixes.back().tokens;
   const std::uint32_t shared = shared_prefix(query.prefixes).tokens;
   const std::uint32_t held = state.cache.held_tokens(query.prefixes);
@@ -271,9 +230,10 @@
   out.loss += loss_by_failure(server, state, query.now);
 }
 
-void dispatcher::weigh_service(const placement_query& query, const servers::server_entry& server,
-                               placement& out) {
-  const server_state& state = state_of(server);
+void dispatcher::weigh_service(const placement_query& query, const internal::candidate& at,
+                               placement& out) const {
+  const servers::server_entry& server = *at.server;
+  const server_state& state = *at.state;
   const double answer = state.answer_ms.value() > 0 ? state.answer_ms.value() : assumed_answer_ms;
   const double taken = static_cast<double>(state.all_running()) / std::max(1U, server.slots);
   out.running = state.all_running();
--- a/src/net/deflate.cpp
+++ b/src/net/deflate.cpp
@@ -29,12 +29,18 @@
   params.avail_in = plain.size();
   params.next_out = out.data();
   params.avail_out = out.size();
-  // The bound leaves room for the whole stream, so two calls finish it.  Beast's inflate stream
-  // asks for more bits than the last symbol may have; behind a flush the last block is an empty
-  // one, which has enough of them.
+  // Beast's inflate stream asks for more bits than the last symbol may have; behind a flush the
+  // last block is an empty one, which has enough of them.
   boost::system::error_code error;
   stream.write(params, zlib::Flush::sync, error);
   stream.write(params, zlib::Flush::finish, error);
+  // Full output is the only error that can come; the bound makes it improbable.
+  while (error != zlib::error::end_of_stream && params.avail_out == 0) {
+    out.resize(out.size() + piece_bytes);
+    params.next_out = out.data() + params.total_out;
+    params.avail_out = out.size() - params.total_out;
+    stream.write(params, zlib::Flush::finish, error);
+  }
   out.resize(params.total_out);
   return out;
 }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -213,17 +213,24 @@
   CPPUNIT_ASSERT_EQUAL(home.server.id, fleet.choose(third, prefixes).server.id);
 }
 
+// A whole answer of 100 events from a server, with these pauses between them.
+void stream_from(fleet_case& fleet, dispatcher& entry, const placement& from,
+                 const std::vector<prompt_prefix>& prefixes, duration pause) {
+  constexpr int events = 100;
+  sending sent = entry.sent(from, prefixes, fleet.now);
+  for (int event = 0; event < events; ++event) {
+    fleet.now = fleet.now + pause;
+    entry.events(sent, 1, fleet.now);
+  }
+  entry.ended(sent, send_end::completed, fleet.now);
+}
+
 TEST_THAT(dispatcher, keeps_callers_who_expect_short_pauses_from_a_server_with_long_ones) {
   fleet_case fleet(2);
   dispatcher entry(fleet.list, "zg-istok", 1);
   const auto prefixes = prompt_about(7, 1);
   const placement home = fleet.choose(entry, prefixes);
-  sending sent = entry.sent(home, prefixes, fleet.now);
-  for (int event = 0; event < 100; ++event) {
-    fleet.now = fleet.now + 300_ms;
-    entry.events(sent, 1, fleet.now);
-  }
-  entry.ended(sent, send_end::completed, fleet.now);
+  stream_from(fleet, entry, home, prefixes, 300_ms);
   placement_query query;
   query.service = "forecast";
   query.prefixes = prefixes;
@@ -239,12 +246,7 @@
   dispatcher entry(fleet.list, "zg-istok", 1);
   const auto prefixes = prompt_about(7, 1);
   const placement home = fleet.choose(entry, prefixes);
-  sending sent = entry.sent(home, prefixes, fleet.now);
-  for (int event = 0; event < 100; ++event) {
-    fleet.now = fleet.now + 60_ms;
-    entry.events(sent, 1, fleet.now);
-  }
-  entry.ended(sent, send_end::completed, fleet.now);
+  stream_from(fleet, entry, home, prefixes, 60_ms);
   placement_query query;
   query.service = "forecast";
   query.prefixes = prefixes;
