Test a stream that falls silent on an open connection

Nothing tested a server that stops sending without closing. The gateway goes on at another server and closes the silent connection; the test holds that. Shown able to fail: without the read time-out of a stream the request ends without an answer.

--- a/tests/gateway/whole_path_test.cpp
+++ b/tests/gateway/whole_path_test.cpp
@@ -136,9 +136,11 @@
   world.await([&] { return silent.left() == 1; });
 }
 
-TEST_THAT(gateway, streams_events_and_goes_on_at_another_server) {
-  gateway_world world;
-  fake_server& broken = world.add_server("s1", "forecast", stream_two_and_break);
+// Streams from two servers, the first of which gives two events only, until the second one has
+// gone on where the first stopped; each answer must be whole.
+// \returns the first server.
+fake_server& resume_from(gateway_world& world, fake_server::behaviour first) {
+  fake_server& broken = world.add_server("s1", "forecast", std::move(first));
   fake_server& whole = world.add_server("s2", "forecast", stream_four);
   world.start();
   bool resumed = false;
@@ -151,6 +153,18 @@
   }
   CPPUNIT_ASSERT(resumed);
   CPPUNIT_ASSERT(whole.received().back().header("Last-Event-Id") == "2");
+  return broken;
+}
+
+TEST_THAT(gateway, streams_events_and_goes_on_at_another_server) {
+  gateway_world world;
+  resume_from(world, stream_two_and_break);
+}
+
+TEST_THAT(gateway, goes_on_at_another_server_when_a_stream_falls_silent) {
+  gateway_world world;
+  fake_server& silent = resume_from(world, stream_two_and_fall_silent);
+  world.await([&] { return silent.left() == silent.received().size(); });
 }
 
 TEST_THAT(gateway, ends_a_stream_that_goes_on_behind_its_last_event) {
--- a/tests/gateway/world.cpp
+++ b/tests/gateway/world.cpp
@@ -265,6 +265,13 @@
   writer.abort();
 }
 
+asio::awaitable<void> stream_two_and_fall_silent(const http_request& request,
+                                                 net::response_writer& writer) {
+  constexpr std::uint64_t last = 2;
+  co_await write_events(request, writer, last);
+  co_await never_answer(request, writer);
+}
+
 gateway_world::gateway_world() : store_(around_), client_(net::http_client::create(4)) {
   store_.put("op/config", usual_config(1));
 }
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -110,6 +110,9 @@
 boost::asio::awaitable<void> stream_four(const http_request& request, net::response_writer& writer);
 boost::asio::awaitable<void> stream_two_and_break(const http_request& request,
                                                   net::response_writer& writer);
+// Leaves the connection open.
+boost::asio::awaitable<void> stream_two_and_fall_silent(const http_request& request,
+                                                        net::response_writer& writer);
 
 // One gateway with its store.
 class gateway_world {
