End the stand-ins' threads before the stand-ins in the gateway's tests

The thread sanitizer reported uses after free: a watch of the test's store ran on while its world was taken apart. A test could crash by it.

--- a/tests/gateway/world.cpp
+++ b/tests/gateway/world.cpp
@@ -64,11 +64,15 @@
   }
 }
 
-loopback::~loopback() {
+loopback::~loopback() { stop(); }
+
+void loopback::stop() {
   work_.reset();
   context_.stop();
   for (auto& thread : threads_) {
-    thread.join();
+    if (thread.joinable()) {
+      thread.join();
+    }
   }
 }
 
@@ -281,6 +285,7 @@
     gateway_->begin_stop();
     thread_.join();
   }
+  around_.stop();
 }
 
 fake_server& gateway_world::add_server(const std::string& id, const std::string& service,
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -36,6 +36,8 @@
   loopback& operator=(const loopback&) = delete;
   boost::asio::any_io_executor executor() { return context_.get_executor(); }
   std::unique_ptr<net::http_server> serve(net::request_handler handler);
+  // Ends the threads.  Call before stand-ins that they run are gone.
+  void stop();
   template <class Result>
   Result await(boost::asio::awaitable<Result> what) {
     return boost::asio::co_spawn(boost::asio::make_strand(context_), std::move(what),
