--- /dev/null
+++ b/tests/hostile/codecs_test.cpp
@@ -0,0 +1,207 @@
+// Every reader of bytes from outside, on damaged input: it refuses, or what it takes holds
+// together. The address sanitizer sees what a test without it does not.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <thread>
+#include <tuple>
+
+#include "gateway/event_splitter.h"
+#include "hawthornnotch/net/deflate.h"
+#include "hawthornnotch/net/http_server.h"
+#include "hawthornnotch/relay/exchange.h"
+#include "hawthornnotch/routes/route_table.h"
+#include "mutation.h"
+#include "platform/wire_protocol.h"
+#include "test_case.h"
+
+namespace hawthornnotch {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int rounds = 5'000;
+/// Each seed gives other damage; one that failed once stays here.
+constexpr std::uint64_t seeds[] = {1, 2, 3};
+
+// Calls `read` with damaged copies of the text.
+template <class Read>
+void with_damage(const std::string& text, Read read) {
+  for (const std::uint64_t seed : seeds) {
+    random_source random(seed);
+    for (int round = 0; round < rounds; ++round) {
+      read(test::mutated(text, random));
+    }
+  }
+}
+
+relay::exchange_message usual_message() {
+  relay::exchange_message message;
+  message.from.vm = "entry-1";
+  message.from.failure_domain = "zg-istok";
+  message.from.address = {"10.0.0.1", 8181};
+  message.from.incarnation = "f00d";
+  message.from.heartbeat = 7;
+  message.from.work = {{"s1", 3, 17'000}};
+  message.config_version = 12;
+  message.list_revision = 900;
+  message.list_id = 1;
+  message.list_digest = 2;
+  message.paces = {{"s1", 1'700'000'000'000, 12.0, 40.0}};
+  message.absences = {{"s9", duration{4'500}}};
+  message.config = R"({"Version":12})";
+  servers::server_entry entry;
+  entry.id = "s1";
+  entry.service = "forecast";
+  entry.address = {"10.0.0.9", 80};
+  message.list = std::vector{entry};
+  return message;
+}
+
+TEST_THAT(hostile, exchanges_that_are_taken_can_be_passed_on_unchanged) {
+  with_damage(relay::encode(usual_message()), [](const std::string& text) {
+    const auto taken = relay::decode(text);
+    if (!taken) {
+      return;
+    }
+    const std::string passed_on = relay::encode(*taken);
+    const auto again = relay::decode(passed_on);
+    CPPUNIT_ASSERT_MESSAGE(text, again.has_value());
+    CPPUNIT_ASSERT_EQUAL(passed_on, relay::encode(*again));
+  });
+}
+
+TEST_THAT(hostile, compressed_messages_stay_within_their_bound) {
+  constexpr std::size_t most_bytes = 20'000;
+  with_damage(net::deflate(relay::encode(usual_message())), [](const std::string& text) {
+    const auto plain = net::inflate(text, most_bytes);
+    CPPUNIT_ASSERT(!plain || plain->size() <= most_bytes);
+  });
+}
+
+TEST_THAT(hostile, configurations_that_are_taken_can_be_routed_by) {
+  const std::string config =
+      R"({"Version":7,"Routes":[{"Name":"r","Host":"a.b","Prefix":"/x/","Type":"stream",)"
+      R"("TimeoutMs":900,"TargetLatencyMs":100,"Priority":2,"Service":"s","MaxAttempts":2,)"
+      R"("Resumable":true}],"Services":[{"Name":"s","Engine":{"Slots":8}}],)"
+      R"("Tenants":[{"Name":"t","ApiKeys":["k"],"Priority":1}]})";
+  const adapter::wire_protocol wire;
+  with_damage(config, [&](const std::string& text) {
+    auto taken = wire.decode_config(text);
+    if (!taken) {
+      return;
+    }
+    const auto table = routes::route_table::create(std::move(*taken));
+    routes::route_query query;
+    query.host = "a.b";
+    query.path = "/x/1";
+    query.api_key = "k";
+    std::ignore = table->find(query);
+  });
+}
+
+TEST_THAT(hostile, server_entries_that_are_taken_can_be_reached) {
+  const std::string entry =
+      R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":4,"State":"ready","born":17})";
+  const adapter::wire_protocol wire;
+  with_damage(entry, [&](const std::string& text) {
+    const auto taken = wire.decode_server("servers/i-1", text);
+    if (taken) {
+      CPPUNIT_ASSERT_MESSAGE(text, !taken->address.address.empty() && taken->address.port > 0);
+    }
+  });
+}
+
+TEST_THAT(hostile, headers_of_callers_and_servers_are_read_or_passed_over) {
+  const adapter::wire_protocol wire;
+  for (const char* name : {"X-Attempt-Id", "X-Deadline-Ms", "X-Token-Count", "X-Prompt-Prefix",
+                           "X-Length-Hint", "Last-Event-Id", "Authorization", "Connection"}) {
+    with_damage("1,5c1e07a2:800, 12", [&](const std::string& value) {
+      net::http_request request;
+      request.target = value;
+      request.headers.emplace_back(name, value);
+      std::ignore = wire.decode_request(std::move(request));
+    });
+  }
+  for (const char* name : {"X-Instance-Load", "X-Response-Seal", "X-Not-Executed"}) {
+    with_damage("3,4,5", [&](const std::string& value) {
+      net::http_response head;
+      head.headers.emplace_back(name, value);
+      std::ignore = wire.decode_answer(head);
+    });
+  }
+}
+
+TEST_THAT(hostile, streams_give_the_same_events_however_they_are_cut) {
+  std::string stream;
+  constexpr int events = 40;
+  for (int event = 1; event <= events; ++event) {
+    stream += "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+  }
+  with_damage(stream, [](const std::string& text) {
+    gateway::internal::event_splitter at_once(std::nullopt);
+    const auto whole = at_once.take(text);
+    random_source random(text.size());
+    gateway::internal::event_splitter in_pieces(std::nullopt);
+    std::string joined;
+    bool out_of_order = false;
+    constexpr std::uint64_t longest_piece = 30;
+    for (std::size_t from = 0; from < text.size() && !out_of_order;) {
+      const auto length = static_cast<std::size_t>(1 + random.below(longest_piece));
+      const auto batch = in_pieces.take(std::string_view(text).substr(from, length));
+      joined += batch.text;
+      out_of_order = batch.out_of_order;
+      from += length;
+    }
+    CPPUNIT_ASSERT_EQUAL(whole.out_of_order, out_of_order);
+    if (!out_of_order) {
+      CPPUNIT_ASSERT_EQUAL(whole.text, joined);
+    }
+  });
+}
+
+asio::awaitable<void> echo(net::http_request request, net::response_writer& writer) {
+  net::http_response response;
+  response.body = std::move(request.body);
+  std::ignore = co_await writer.send(std::move(response));
+}
+
+// \returns all that comes back until the server closes.
+std::string exchange_bytes(std::uint16_t port, const std::string& bytes) {
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({asio::ip::address_v4::loopback(), port});
+  boost::system::error_code error;
+  asio::write(socket, asio::buffer(bytes), error);
+  socket.shutdown(asio::socket_base::shutdown_send, error);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+TEST_THAT(hostile, a_door_answers_or_closes_and_goes_on_serving) {
+  asio::io_context context;
+  auto server = net::http_server::listen(context.get_executor(), {"127.0.0.1", 0}, {}, echo);
+  CPPUNIT_ASSERT(server.has_value());
+  const std::uint16_t port = (*server)->port();
+  std::thread runs([&] { context.run(); });
+  const std::string valid =
+      "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
+  random_source random(1);
+  constexpr int connections = 300;
+  std::string last;
+  for (int connection = 0; connection < connections; ++connection) {
+    exchange_bytes(port, test::mutated(valid, random));
+    last = exchange_bytes(port, valid);
+    if (last.find("200 OK") == std::string::npos) {
+      break;
+    }
+  }
+  context.stop();
+  runs.join();
+  CPPUNIT_ASSERT_MESSAGE(last, last.find("200 OK") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace hawthornnotch
