--- a/tests/hostile/codecs_test.cpp
+++ b/tests/hostile/codecs_test.cpp
@@ -1,4 +1,4 @@
-// Every reader of bytes from outside, on damaged input: it refuses, or what it takes holds
+// Readers of bytes from outside, on damaged input: each refuses, or what it takes holds
 // together. The address sanitizer sees what a test without it does not.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
