Let few entry VMs call the store for all, whatever the size of the fleet

Cause: every entry VM read the configuration and the server list at its start, held a watch of its own, wrote and renewed a leased entry, and retried by itself while the store was away.

Change: one order of the live entry VMs decides who calls. What is known of the configuration now has a confirmation with its age, passed on like a reading of the server list; each VM has an age from which on it calls by itself, so the first in the fleet calls for all, then the first two of each failure domain take over. Two VMs of a failure domain keep an entry. A process that starts asks the seeds first; seeds read at once. Waits for changes are single calls now (polled_store), because who waits may change with each.

--- a/include/hawthornnotch/gateway/gateway.h
+++ b/include/hawthornnotch/gateway/gateway.h
@@ -16,11 +16,9 @@
 
 namespace hawthornnotch::gateway {
 
-/// Makes the client of the platform's store.  `watch_wait` is asked before each call of a watch for
-/// how long the store may keep it waiting.
-using store_factory = std::function<std::unique_ptr<platform::client>(
-    boost::asio::any_io_executor executor, const endpoint& store, net::http_client& http,
-    std::function<duration()> watch_wait)>;
+/// Makes the client of the platform's store.
+using store_factory = std::function<std::unique_ptr<platform::polled_store>(
+    boost::asio::any_io_executor executor, const endpoint& store, net::http_client& http)>;
 
 /// Runs on one thread: an entry VM has a fraction of a core.
 ///
--- a/include/hawthornnotch/gateway/settings.h
+++ b/include/hawthornnotch/gateway/settings.h
@@ -30,6 +30,8 @@
   std::uint32_t descriptors = 1024;
   /// Time after which a backend server that said it leaves may get no new work.
   duration leave_notice{2'000};
+  /// Time after which a new configuration must be in force.
+  duration config_bound{2'000};
   /// How long a request waits for the first configuration and server list of a process that has
   /// just started.
   duration startup_hold{400};
--- a/include/hawthornnotch/platform/client.h
+++ b/include/hawthornnotch/platform/client.h
@@ -102,13 +102,13 @@
   virtual ~watch_handle() = default;
 };
 
-/// Asynchronous calls to the platform.  Each callback runs exactly once (a watch's: until its
-/// failure), from any thread, never inside the call itself.
+/// Asynchronous calls to the platform.  Each callback runs exactly once, from any thread, never
+/// inside the call itself.
 ///
 /// Ownership: outlives every call.  Thread safety: all members are thread safe.
-class client {
+class key_value_store {
  public:
-  virtual ~client() = default;
+  virtual ~key_value_store() = default;
   virtual void transact(transaction what, transaction_callback done) = 0;
   virtual void read(std::string key, read_callback done) = 0;
   virtual void read_prefix(std::string prefix, read_callback done) = 0;
@@ -116,6 +116,31 @@
   virtual void grant_lease(duration time_to_live, lease_callback done) = 0;
   virtual void keep_alive(std::int64_t lease, lease_callback done) = 0;
   virtual void revoke(std::int64_t lease, lease_callback done) = 0;
+};
+
+/// What changed between two revisions.
+struct change_batch {
+  /// Revision up to which the changes are known.
+  std::int64_t revision = 0;
+  /// Empty where nothing changed.
+  std::vector<watch_event> events;
+};
+
+using changes_callback = std::function<void(result<change_batch, platform_failure>)>;
+
+/// A service whose changes are asked for call by call.
+class polled_store : public key_value_store {
+ public:
+  /// Changes of all keys under `prefix` after `revision`, as soon as there is one.
+  /// \param longest_wait how long the service waits for a change before it answers that there is
+  /// none; also about how long a connection that went silent goes unnoticed.
+  virtual void await_changes(std::string prefix, std::int64_t revision, duration longest_wait,
+                             changes_callback done) = 0;
+};
+
+/// A service that tells changes by itself.  A watch's callback runs until its failure.
+class client : public key_value_store {
+ public:
   /// Events of all keys under `prefix` that changed after `revision`.
   [[nodiscard]] virtual std::unique_ptr<watch_handle> watch(std::string prefix,
                                                             std::int64_t revision,
--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -62,6 +62,10 @@
   peer from;
   /// Version of the configuration that the sender has in force; 0 for none.
   std::int64_t config_version = 0;
+  /// The newest `confirmation` that this version is the newest: its id, revision and age.
+  std::uint64_t config_id = 0;
+  std::int64_t config_revision = 0;
+  duration config_age;
   /// Revision of the sender's newest reading of the server list; 0 for none.
   std::int64_t list_revision = 0;
   /// Its `list_reading::id`.
--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -13,6 +13,7 @@
 #include "hawthornnotch/base/clock.h"
 #include "hawthornnotch/base/random.h"
 #include "hawthornnotch/relay/exchange.h"
+#include "hawthornnotch/relay/store_turn.h"
 
 namespace hawthornnotch::relay {
 
@@ -65,9 +66,8 @@
   [[nodiscard]] std::size_t live_count(time_point now) const;
   /// \returns what changed since the last call.
   [[nodiscard]] peer_changes take_changes(time_point now);
-  /// \returns how many live entry VMs come before this one in the order in which they read the
-  /// store; 0 for the first.
-  [[nodiscard]] std::size_t reading_rank(time_point now) const;
+  /// \returns the place of this entry VM in the order in which the live ones call the store.
+  [[nodiscard]] store_position position(time_point now) const;
   /// \returns the sum of what live peers were last heard to have outstanding, by server.
   [[nodiscard]] std::map<std::string, server_work, std::less<>> work_of_peers(time_point now) const;
   /// What this process says of itself, with a new heartbeat.
@@ -81,6 +81,8 @@
  private:
   struct known_peer {
     peer about;
+    /// Place among all in the order in which they call the store.
+    std::uint64_t order = 0;
     time_point risen;
     time_point avoid_until;
     /// As last given by `take_changes`.
@@ -96,6 +98,7 @@
   peer self_;
   std::vector<endpoint> seeds_;
   peer_set_settings settings_;
+  std::uint64_t order_;
   std::map<std::string, known_peer, std::less<>> peers_;
   std::string last_contact_;
   std::uint64_t contacts_ = 0;
--- /dev/null
+++ b/include/hawthornnotch/relay/store_turn.h
@@ -0,0 +1,119 @@
+/// \file
+/// Which entry VMs call the platform's store, and when.
+#ifndef HAWTHORNNOTCH_RELAY_STORE_TURN_H_
+#define HAWTHORNNOTCH_RELAY_STORE_TURN_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+#include "hawthornnotch/base/clock.h"
+
+namespace hawthornnotch::relay {
+
+/// Place of an entry VM in an order of the live ones that all of them compute alike.
+struct store_position {
+  /// Live VMs of the fleet that come before it.
+  std::size_t in_fleet = 0;
+  /// Live VMs of its own failure domain that come before it.
+  std::size_t in_domain = 0;
+};
+
+/// \returns whether the VM keeps an entry of its own in the store, through which VMs that know
+/// nobody find the fleet: two of each failure domain do.
+[[nodiscard]] bool keeps_entry(const store_position& position);
+
+/// Pauses between calls of one kind while they fail: short where the VM calls for others, long for
+/// all others, who will hear of the store's return.
+class store_backoff {
+ public:
+  void succeeded() { failures_ = 0; }
+  /// \param drawn 0 to 1, drawn anew each time.
+  /// \returns how long to wait before the next call.
+  duration failed_now(const store_position& position, double drawn);
+
+ private:
+  std::uint32_t failures_ = 0;
+};
+
+/// What kind of knowledge is kept up to date.
+enum class reading_kind : std::uint8_t {
+  /// Read anew each time it grows old.
+  polled,
+  /// Watched without a break by one VM, which tells the others.
+  watched,
+};
+
+struct reading_settings {
+  reading_kind kind = reading_kind::polled;
+  /// Knowledge may not be older than this where the store answers.
+  duration bound;
+  /// Drawn once a process, 0 to 1: spreads VMs that would otherwise call at the same moment.
+  double spread = 0;
+  /// True if others ask this VM when they start, so it does not wait for them.
+  bool others_ask_here = false;
+};
+
+/// Decides when this VM reads one thing from the store instead of hearing it from the others.
+///
+/// Each VM has an age from which on it reads by itself; the order of the VMs sets it, so that in
+/// the usual case the first in the fleet reads for all.  Where a failure domain is cut off, or the
+/// first ones are refused or dead, the next take over as knowledge grows old.  The load pattern it
+/// answers: hundreds of VMs that start, lose the store or find it again at the same moment; the
+/// number of calls does not grow with the fleet.
+///
+/// Example:
+///     reading_schedule schedule(settings, clock.now());
+///     if (schedule.due(age, last_was_own, position, clock.now())) { schedule.began(); read(); }
+/// Ownership: a value.  Thread safety: none.
+class reading_schedule {
+ public:
+  /// \param started_at when the process started.
+  reading_schedule(reading_settings settings, time_point started_at)
+      : settings_(settings), started_at_(started_at) {}
+
+  /// \param age of what is known; none where nothing is.
+  /// \param by_own_reading whether it was this VM that read it.
+  [[nodiscard]] bool due(std::optional<duration> age, bool by_own_reading,
+                         const store_position& position, time_point now) const;
+  void began() { running_ = true; }
+  void succeeded();
+  /// \param drawn 0 to 1, drawn anew each time.
+  /// \returns how long no further call is due.
+  duration failed_now(const store_position& position, double drawn, time_point now);
+  /// \param goes_on true if the call before was this VM's too and brought no change.  Otherwise all
+  /// others have to hear soon that they are up to date.
+  /// \returns how long a call that waits for changes may take.
+  [[nodiscard]] duration watch_time(bool goes_on) const;
+  /// \returns the age from which on a VM at this place reads by itself.
+  [[nodiscard]] duration longest_age(const store_position& position) const;
+
+ private:
+  [[nodiscard]] bool settled(time_point now) const;
+  [[nodiscard]] duration first_wait() const;
+
+  reading_settings settings_;
+  time_point started_at_;
+  time_point not_before_;
+  store_backoff backoff_;
+  bool running_ = false;
+};
+
+/// That what is known was the newest in the store, as told from VM to VM.
+struct confirmation {
+  /// Drawn by the VM that called the store; the same in every copy that is passed on.
+  std::uint64_t id = 0;
+  /// Revision of the store that was looked at; 0 for none.
+  std::int64_t revision = 0;
+  /// When it was looked at, by this process's monotonic clock.
+  time_point at;
+};
+
+/// Takes in what another VM says.  An age that is passed on lacks the time on the way, so of two
+/// ages of one confirmation the greater is nearer the truth.
+/// \returns whether `known` became a newer confirmation.
+bool take_newer(confirmation& known, const confirmation& heard);
+
+}  // namespace hawthornnotch::relay
+
+#endif  // HAWTHORNNOTCH_RELAY_STORE_TURN_H_
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,11 +39,6 @@
 constexpr std::int64_t idle_factor = 2;
 /// Descriptors kept for files, listeners, the store and peers.
 constexpr std::uint32_t reserved_descriptors = 264;
-/// The first entry VMs in order watch the store by short calls, so that one of them soon notices a
-/// connection that went silent; the others hear of a change from them.
-constexpr std::size_t quick_watchers = 2;
-constexpr duration quick_watch_wait{1'500};
-constexpr duration slow_watch_wait{25'000};
 constexpr std::size_t idle_per_server = 64;
 constexpr duration idle_lifetime{30'000};
 constexpr duration unstated_idle_lifetime{2'000};
@@ -81,8 +76,7 @@
 
   status<net::net_failure> listen(const store_factory& make_store) {
     const auto executor = context_.get_executor();
-    store_ = make_store(executor, shared_.settings.store, *shared_.http,
-                        [this] { return watch_wait(); });
+    store_ = make_store(executor, shared_.settings.store, *shared_.http);
     config_.emplace(shared_, known_, *store_, executor);
     list_.emplace(shared_, known_, *store_, executor);
     registration_.emplace(shared_, *store_, executor);
@@ -197,11 +191,6 @@
     std::ignore = co_await writer.send(std::move(response));
   }
 
-  [[nodiscard]] duration watch_wait() const {
-    const bool reads_first = shared_.peers.reading_rank(shared_.time.now()) < quick_watchers;
-    return reads_first ? quick_watch_wait : slow_watch_wait;
-  }
-
   void show_gauges() {
     observe::metrics& shown = *shared_.metrics;
     const time_point now = shared_.time.now();
@@ -271,7 +260,7 @@
   state shared_;
   knowledge known_;
   peer_link link_;
-  std::unique_ptr<platform::client> store_;
+  std::unique_ptr<platform::polled_store> store_;
   std::optional<config_follower> config_;
   std::optional<list_follower> list_;
   std::optional<store_registration> registration_;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -136,6 +136,9 @@
   const time_point now = shared_.time.now();
   message.from = shared_.peers.beat(shared_.dispatcher.own_work());
   message.config_version = shared_.config.version();
+  message.config_id = shared_.config_seen.id;
+  message.config_revision = shared_.config_seen.revision;
+  message.config_age = now - shared_.config_seen.at;
   if (const auto& list = shared_.servers.newest()) {
     message.list_revision = list->revision;
     message.list_id = list->id;
@@ -169,6 +172,8 @@
   if (message.config) {
     known_.offer_config(*message.config, message.from.vm);
   }
+  known_.confirm_config(message.config_version,
+                        {message.config_id, message.config_revision, now - message.config_age});
   take_list(message);
 }
 
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -76,6 +76,7 @@
   settings.descriptors = static_cast<std::uint32_t>(
       reader.integer("descriptors", any_descriptors, std::int64_t{settings.descriptors}));
   settings.leave_notice = reader.milliseconds("leave_notice_ms", any_notice, settings.leave_notice);
+  settings.config_bound = reader.milliseconds("config_bound_ms", any_notice, settings.config_bound);
   settings.startup_hold = reader.milliseconds("startup_hold_ms", any_hold, settings.startup_hold);
   settings.stop_grace = read_seconds(reader, "stop_grace_s", settings.stop_grace);
   read_retries(reader, settings.retries);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -14,6 +14,7 @@
 #include "hawthornnotch/net/http_client.h"
 #include "hawthornnotch/observe/metrics.h"
 #include "hawthornnotch/relay/peer_set.h"
+#include "hawthornnotch/relay/store_turn.h"
 #include "hawthornnotch/routes/route_table.h"
 #include "hawthornnotch/servers/server_list.h"
 
@@ -40,6 +41,8 @@
   routes::config_holder config;
   // The configuration in force as the store holds it, to pass on.
   std::string config_text;
+  // When it was last known to be the newest.
+  relay::confirmation config_seen;
   servers::server_list servers;
   relay::peer_set peers;
   dispatch::dispatcher dispatcher;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -15,16 +15,8 @@
 
 namespace {
 
-/// Pauses after a failed call: the first, and the longest that doubling leads to.
-constexpr duration first_pause{100};
-constexpr duration longest_pause{800};
-/// How often the age of the list is looked at.
-constexpr duration list_tick{100};
-/// Age at which the first entry VM in order reads the list again, and what each further one waits
-/// longer, up to the greatest age: parts of the time in which a leaving server must be noticed.
-constexpr double first_reader_part = 0.4;
-constexpr double next_reader_part = 0.12;
-constexpr double greatest_part = 0.75;
+/// How often it is looked whether a call is due.
+constexpr duration tick_period{100};
 
 std::chrono::milliseconds to_chrono(duration span) { return std::chrono::milliseconds(span.ms); }
 
@@ -37,6 +29,18 @@
   return out;
 }
 
+relay::reading_settings reading_settings_of(relay::reading_kind kind, duration bound,
+                                            state& shared) {
+  relay::reading_settings settings;
+  settings.kind = kind;
+  settings.bound = bound;
+  settings.spread = shared.random.unit();
+  const auto& seeds = shared.settings.seeds;
+  const bool is_seed = std::find(seeds.begin(), seeds.end(), shared.settings.peers) != seeds.end();
+  settings.others_ask_here = is_seed || seeds.empty();
+  return settings;
+}
+
 }  // namespace
 
 std::string_view to_string(platform::failure_kind kind) {
@@ -75,6 +79,12 @@
   changed_();
 }
 
+void knowledge::confirm_config(std::int64_t version, const relay::confirmation& seen) {
+  if (version == shared_.config.version()) {
+    relay::take_newer(shared_.config_seen, seen);
+  }
+}
+
 void knowledge::offer_list(servers::list_reading reading, std::string_view source) {
   const time_point now = shared_.time.now();
   const std::int64_t revision = reading.revision;
@@ -103,84 +113,121 @@
   failures_ = 0;
 }
 
-duration dependency::failed_now(std::string_view why, random_source& random) {
+void dependency::failed_now(std::string_view why) {
   if (failures_ == 0) {
     log_event(level::warning, "dependency_lost", {{"dependency", name_}, {"why", why}});
   }
-  const std::uint32_t doublings = std::min(failures_, 8U);
   ++failures_;
-  const duration pause = std::min(first_pause * (std::int64_t{1} << doublings), longest_pause);
-  const double spread = 0.5 + random.unit();
-  return {static_cast<std::int64_t>(static_cast<double>(pause.ms) * spread)};
 }
 
-config_follower::config_follower(state& shared, knowledge& known, platform::client& store,
+config_follower::config_follower(state& shared, knowledge& known, platform::polled_store& store,
                                  const asio::any_io_executor& executor)
-    : shared_(shared), known_(known), store_(store), timer_(executor) {}
+    : shared_(shared),
+      known_(known),
+      store_(store),
+      timer_(executor),
+      schedule_(
+          reading_settings_of(relay::reading_kind::watched, shared.settings.config_bound, shared),
+          shared.time.now()) {}
+
+void config_follower::tick() {
+  const time_point now = shared_.time.now();
+  const relay::confirmation& seen = shared_.config_seen;
+  // True also where the store was seen to hold no configuration yet.
+  const bool known = seen.revision != 0;
+  const auto age = known ? std::optional(now - seen.at) : std::nullopt;
+  const bool own = known && seen.id == last_alone_;
+  if (schedule_.due(age, own, shared_.peers.position(now), now)) {
+    schedule_.began();
+    known && !history_gone_ ? await_changes() : read();
+  }
+  timer_.expires_after(to_chrono(tick_period));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
 
 void config_follower::read() {
-  store_.read(std::string(shared_.wire.config_key()), [this](auto answer) {
+  const time_point asked_at = shared_.time.now();
+  const std::uint64_t before = shared_.config_seen.id;
+  store_.read(std::string(shared_.wire.config_key()), [this, asked_at, before](auto answer) {
     if (!answer) {
-      const auto why = to_string(answer.last_reason().kind);
-      retry_after(store_config_.failed_now(why, shared_.random));
+      failed_now(answer.last_reason().kind);
       return;
     }
-    store_config_.succeeded();
+    history_gone_ = false;
     take(answer->found);
-    watch(answer->revision);
+    confirm(answer->revision, asked_at, before);
   });
 }
 
-void config_follower::take(const std::vector<platform::key_value>& found) {
-  for (const platform::key_value& each : found) {
-    if (each.key == shared_.wire.config_key()) {
-      known_.offer_config(each.value, "store");
-    }
-  }
-}
-
-void config_follower::watch(std::int64_t revision) {
-  watch_ = store_.watch(std::string(shared_.wire.config_prefix()), revision, [this](auto events) {
-    if (!events) {
-      const auto why = to_string(events.last_reason().kind);
-      retry_after(store_config_.failed_now(why, shared_.random));
+void config_follower::await_changes() {
+  const time_point asked_at = shared_.time.now();
+  const std::uint64_t before = shared_.config_seen.id;
+  const duration wait = schedule_.watch_time(before == last_alone_ && !changed_);
+  const auto done = [this, asked_at, wait, before](auto changes) {
+    if (!changes) {
+      failed_now(changes.last_reason().kind);
       return;
     }
-    for (const platform::watch_event& event : *events) {
+    changed_ = !changes->events.empty();
+    for (const platform::watch_event& event : changes->events) {
       if (!event.erased) {
         take({event.now});
       }
     }
-  });
+    // An answer without a change left the store when the wait was over.  It may have been read much
+    // later, by a process that was paused meanwhile.
+    const time_point sent_at = changed_ ? asked_at : asked_at + wait;
+    confirm(changes->revision, std::min(sent_at, shared_.time.now()), before);
+  };
+  store_.await_changes(std::string(shared_.wire.config_prefix()), shared_.config_seen.revision,
+                       wait, done);
 }
 
-void config_follower::retry_after(duration pause) {
-  timer_.expires_after(to_chrono(pause));
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      watch_.reset();
-      read();
+void config_follower::take(const std::vector<platform::key_value>& found) {
+  for (const platform::key_value& each : found) {
+    if (each.key == shared_.wire.config_key()) {
+      known_.offer_config(each.value, "store");
     }
-  });
+  }
 }
 
-list_follower::list_follower(state& shared, knowledge& known, platform::client& store,
-                             const asio::any_io_executor& executor)
-    : shared_(shared), known_(known), store_(store), timer_(executor) {}
+void config_follower::confirm(std::int64_t revision, time_point at, std::uint64_t before) {
+  schedule_.succeeded();
+  store_config_.succeeded();
+  const bool others_watch = shared_.config_seen.id != before;
+  const std::uint64_t id = shared_.random.engine()();
+  known_.confirm_config(shared_.config.version(), {id, revision, at});
+  last_alone_ = others_watch ? 0 : id;
+}
 
-duration list_follower::longest_age() const {
-  const auto rank = static_cast<double>(shared_.peers.reading_rank(shared_.time.now()));
-  const double part = std::min(first_reader_part + next_reader_part * rank, greatest_part);
-  return {static_cast<std::int64_t>(part * static_cast<double>(shared_.settings.leave_notice.ms))};
+void config_follower::failed_now(platform::failure_kind why) {
+  history_gone_ = history_gone_ || why == platform::failure_kind::history_gone;
+  store_config_.failed_now(to_string(why));
+  const time_point now = shared_.time.now();
+  schedule_.failed_now(shared_.peers.position(now), shared_.random.unit(), now);
 }
 
+list_follower::list_follower(state& shared, knowledge& known, platform::polled_store& store,
+                             const asio::any_io_executor& executor)
+    : shared_(shared),
+      known_(known),
+      store_(store),
+      timer_(executor),
+      schedule_(
+          reading_settings_of(relay::reading_kind::polled, shared.settings.leave_notice, shared),
+          shared.time.now()) {}
+
 void list_follower::tick() {
   const time_point now = shared_.time.now();
-  const auto age = shared_.servers.age(now);
-  if (!reading_ && now >= not_before_ && (!age || *age >= longest_age())) {
+  if (schedule_.due(shared_.servers.age(now), false, shared_.peers.position(now), now)) {
+    schedule_.began();
     read();
   }
-  timer_.expires_after(to_chrono(list_tick));
+  timer_.expires_after(to_chrono(tick_period));
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       tick();
@@ -189,30 +236,34 @@
 }
 
 void list_follower::read() {
-  reading_ = true;
   const time_point asked_at = shared_.time.now();
   store_.read_prefix(std::string(shared_.wire.server_prefix()), [this, asked_at](auto answer) {
-    reading_ = false;
     if (!answer) {
-      const auto why = to_string(answer.last_reason().kind);
-      not_before_ = shared_.time.now() + store_list_.failed_now(why, shared_.random);
+      const time_point now = shared_.time.now();
+      store_list_.failed_now(to_string(answer.last_reason().kind));
+      schedule_.failed_now(shared_.peers.position(now), shared_.random.unit(), now);
       return;
     }
+    schedule_.succeeded();
     store_list_.succeeded();
-    servers::list_reading reading;
-    reading.id = shared_.random.engine()();
-    reading.revision = answer->revision;
-    reading.read_at = asked_at;
-    for (const platform::key_value& each : answer->found) {
-      auto entry = shared_.wire.decode_server(each.key, each.value);
-      if (entry) {
-        reading.entries.push_back(std::move(*entry));
-      } else {
-        log_event(level::debug, "server_entry_unreadable", {{"key", each.key}});
-      }
-    }
-    known_.offer_list(std::move(reading), "store");
+    take(*answer, asked_at);
   });
 }
 
+void list_follower::take(const platform::read_outcome& answer, time_point asked_at) {
+  servers::list_reading reading;
+  reading.id = shared_.random.engine()();
+  reading.revision = answer.revision;
+  reading.read_at = asked_at;
+  for (const platform::key_value& each : answer.found) {
+    auto entry = shared_.wire.decode_server(each.key, each.value);
+    if (entry) {
+      reading.entries.push_back(std::move(*entry));
+    } else {
+      log_event(level::debug, "server_entry_unreadable", {{"key", each.key}});
+    }
+  }
+  known_.offer_list(std::move(reading), "store");
+}
+
 }  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -4,10 +4,10 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <memory>
 #include <string_view>
 
 #include "hawthornnotch/platform/client.h"
+#include "hawthornnotch/relay/store_turn.h"
 #include "state.h"
 
 namespace hawthornnotch::gateway::internal {
@@ -20,6 +20,8 @@
       : shared_(shared), changed_(std::move(changed)) {}
   // \param source for the log: where the text comes from.
   void offer_config(std::string text, std::string_view source);
+  // Somebody has seen that this version was the newest.
+  void confirm_config(std::int64_t version, const relay::confirmation& seen);
   void offer_list(servers::list_reading reading, std::string_view source);
 
  private:
@@ -30,59 +32,69 @@
 // \returns the failure's name for logs.
 std::string_view to_string(platform::failure_kind kind);
 
-// Pauses between tries while a dependency fails, and logs when it is lost and regained.
+// Logs when a dependency is lost and regained.
 class dependency {
  public:
   explicit dependency(std::string_view name) : name_(name) {}
   void succeeded();
-  // \returns how long to wait before the next try.
-  duration failed_now(std::string_view why, random_source& random);
+  void failed_now(std::string_view why);
 
  private:
   std::string_view name_;
   std::uint32_t failures_ = 0;
 };
 
-// Reads the configuration, then watches it; reads again whenever the watch ends.
+// Follows the configuration in the store, in turn with the other entry VMs: most of the time one of
+// them waits for changes and tells all others.
 class config_follower {
  public:
-  config_follower(state& shared, knowledge& known, platform::client& store,
+  config_follower(state& shared, knowledge& known, platform::polled_store& store,
                   const boost::asio::any_io_executor& executor);
-  void start() { read(); }
+  void start() { tick(); }
 
  private:
+  void tick();
+  // Reads the whole configuration.
   void read();
-  void watch(std::int64_t revision);
-  void retry_after(duration pause);
+  // Asks for what came after the last confirmation.
+  void await_changes();
   void take(const std::vector<platform::key_value>& found);
+  // \param before the newest confirmation when the call began.
+  void confirm(std::int64_t revision, time_point at, std::uint64_t before);
+  void failed_now(platform::failure_kind why);
 
   state& shared_;
   knowledge& known_;
-  platform::client& store_;
+  platform::polled_store& store_;
   boost::asio::steady_timer timer_;
-  std::unique_ptr<platform::watch_handle> watch_;
+  relay::reading_schedule schedule_;
+  // The confirmation by this process's last call; 0 where another process called meanwhile.
+  std::uint64_t last_alone_ = 0;
+  // The history behind the last confirmation is gone: the next call reads the whole.
+  bool history_gone_ = false;
+  // Whether the last call brought a change.
+  bool changed_ = false;
   dependency store_config_{"store_config"};
 };
 
-// Reads the server list when the newest reading, by this process or a peer, grows old.  The entry
-// VMs take their turn by rank, so that in the usual case one of them reads for all.
+// Reads the server list, in turn with the other entry VMs: most of the time one of them reads for
+// all.
 class list_follower {
  public:
-  list_follower(state& shared, knowledge& known, platform::client& store,
+  list_follower(state& shared, knowledge& known, platform::polled_store& store,
                 const boost::asio::any_io_executor& executor);
   void start() { tick(); }
 
  private:
   void tick();
   void read();
-  [[nodiscard]] duration longest_age() const;
+  void take(const platform::read_outcome& answer, time_point asked_at);
 
   state& shared_;
   knowledge& known_;
-  platform::client& store_;
+  platform::polled_store& store_;
   boost::asio::steady_timer timer_;
-  bool reading_ = false;
-  time_point not_before_;
+  relay::reading_schedule schedule_;
   dependency store_list_{"store_list"};
 };
 
--- a/src/gateway/store_registration.cpp
+++ b/src/gateway/store_registration.cpp
@@ -16,21 +16,51 @@
 /// A VM that ends without notice is still named in the store for this long.
 constexpr duration lease_time{30'000};
 constexpr duration renewal_period{10'000};
-/// How often the store is asked for other entry VMs while none is known, and otherwise.
-constexpr duration alone_period{1'000};
-constexpr duration usual_period{30'000};
+/// Pause after a failed call; entries outlive several.
+constexpr duration retry_period{4'000};
+/// How soon after the start, and how often, a process looks whether it has to keep an entry, and
+/// whether it knows any other entry VM.
+constexpr duration first_look{1'000};
+constexpr duration look_period{2'000};
+/// How often one VM of each failure domain reads the entries, so that groups of VMs that do not
+/// know of each other meet.
+constexpr duration meeting_period{30'000};
 
 std::chrono::milliseconds to_chrono(duration span) { return std::chrono::milliseconds(span.ms); }
 
 }  // namespace
 
-store_registration::store_registration(state& shared, platform::client& store,
+store_registration::store_registration(state& shared, platform::key_value_store& store,
                                        const asio::any_io_executor& executor)
     : shared_(shared), store_(store), timer_(executor), find_timer_(executor) {}
 
 void store_registration::start() {
-  announce();
-  next_in(alone_period, &store_registration::find_peers);
+  started_at_ = shared_.time.now();
+  next_in(first_look, &store_registration::look);
+  next_in(first_look, &store_registration::find_peers);
+}
+
+bool store_registration::alone() const { return shared_.peers.live_count(shared_.time.now()) <= 1; }
+
+// Who comes first is known only when the others had time to make themselves known.
+void store_registration::look() {
+  const time_point now = shared_.time.now();
+  const bool knows_order = alone() || now - started_at_ >= look_period;
+  if (!knows_order || !relay::keeps_entry(shared_.peers.position(now))) {
+    next_in(look_period, &store_registration::look);
+  } else if (lease_ == 0) {
+    announce();
+  } else {
+    renew();
+  }
+}
+
+void store_registration::retry(platform::failure_kind why) {
+  store_lease_.failed_now(to_string(why));
+  constexpr double least_part = 0.5;
+  const double spread = least_part + shared_.random.unit();
+  const auto pause = static_cast<std::int64_t>(spread * static_cast<double>(retry_period.ms));
+  next_in({pause}, &store_registration::look);
 }
 
 void store_registration::next_in(duration pause, void (store_registration::*step)()) {
@@ -46,8 +76,7 @@
 void store_registration::announce() {
   store_.grant_lease(lease_time, [this](auto lease) {
     if (!lease) {
-      const auto why = to_string(lease.last_reason().kind);
-      next_in(store_lease_.failed_now(why, shared_.random), &store_registration::announce);
+      retry(lease.last_reason().kind);
       return;
     }
     write(*lease);
@@ -60,48 +89,58 @@
   change.effects.emplace_back(platform::put{key, relay::encode_peer(shared_.peers.self()), lease});
   store_.transact(std::move(change), [this, lease](auto outcome) {
     if (!outcome) {
-      const auto why = to_string(outcome.last_reason().kind);
-      next_in(store_lease_.failed_now(why, shared_.random), &store_registration::announce);
+      retry(outcome.last_reason().kind);
       return;
     }
-    store_lease_.succeeded();
     lease_ = lease;
-    next_in(renewal_period, &store_registration::renew);
+    kept();
   });
 }
 
 void store_registration::renew() {
   store_.keep_alive(lease_, [this](auto lease) {
     if (lease) {
-      store_lease_.succeeded();
-      next_in(renewal_period, &store_registration::renew);
+      kept();
       return;
     }
-    const bool gone = lease.last_reason().kind == platform::failure_kind::lease_gone;
-    const auto why = to_string(lease.last_reason().kind);
-    const duration pause = store_lease_.failed_now(why, shared_.random);
-    next_in(pause, gone ? &store_registration::announce : &store_registration::renew);
+    const platform::failure_kind why = lease.last_reason().kind;
+    if (why == platform::failure_kind::lease_gone) {
+      lease_ = 0;
+    }
+    retry(why);
   });
 }
 
+void store_registration::kept() {
+  store_lease_.succeeded();
+  next_in(renewal_period, &store_registration::look);
+}
+
 void store_registration::find_peers() {
-  if (shared_.peers.live_count(shared_.time.now()) > 1) {
-    next_in(usual_period, &store_registration::find_peers);
+  const time_point now = shared_.time.now();
+  const bool meets = shared_.peers.position(now).in_domain == 0 && now - met_at_ >= meeting_period;
+  if (!alone() && !meets) {
+    next_in(look_period, &store_registration::find_peers);
     return;
   }
+  met_at_ = now;
   store_.read_prefix(std::string(entry_prefix), [this](auto answer) {
     if (answer) {
-      for (const platform::key_value& each : answer->found) {
-        const auto found = relay::decode_peer(each.value);
-        if (found) {
-          shared_.peers.heard_of(*found, shared_.time.now());
-        } else {
-          observe::log_event(observe::level::warning, "peer_entry_unreadable", {{"key", each.key}});
-        }
-      }
+      take_entries(answer->found);
     }
-    next_in(alone_period * 2, &store_registration::find_peers);
+    next_in(look_period, &store_registration::find_peers);
   });
 }
 
+void store_registration::take_entries(std::span<const platform::key_value> entries) {
+  for (const platform::key_value& each : entries) {
+    const auto found = relay::decode_peer(each.value);
+    if (found) {
+      shared_.peers.heard_of(*found, shared_.time.now());
+    } else {
+      observe::log_event(observe::level::warning, "peer_entry_unreadable", {{"key", each.key}});
+    }
+  }
+}
+
 }  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/store_registration.h
+++ b/src/gateway/store_registration.h
@@ -3,32 +3,44 @@
 #define HAWTHORNNOTCH_SRC_GATEWAY_STORE_REGISTRATION_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <span>
 
 #include "hawthornnotch/platform/client.h"
+#include "hawthornnotch/relay/store_turn.h"
 #include "state.h"
 #include "store_follower.h"
 
 namespace hawthornnotch::gateway::internal {
 
-// Keeps a leased key while the process lives.  Seeds may be out of date; the store then is the only
-// way to the first peer, all others are known through exchanges.
+// Keeps a leased key while the process is one of those that do.  Seeds may be out of date; the
+// store then is the only way to the first peer, all others are known through exchanges.
 class store_registration {
  public:
-  store_registration(state& shared, platform::client& store,
+  store_registration(state& shared, platform::key_value_store& store,
                      const boost::asio::any_io_executor& executor);
   void start();
 
  private:
+  // Takes up or gives up the entry as the order of the entry VMs demands.
+  void look();
   void announce();
   void write(std::int64_t lease);
   void renew();
+  void kept();
+  void retry(platform::failure_kind why);
   void find_peers();
+  void take_entries(std::span<const platform::key_value> entries);
+  // \returns whether no other live entry VM is known.
+  [[nodiscard]] bool alone() const;
   void next_in(duration pause, void (store_registration::*step)());
 
   state& shared_;
-  platform::client& store_;
+  platform::key_value_store& store_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer find_timer_;
+  time_point started_at_;
+  // When the entries of the others were last read.
+  time_point met_at_;
   std::int64_t lease_ = 0;
   dependency store_lease_{"store_lease"};
 };
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -171,6 +171,9 @@
 std::string encode(const exchange_message& message) {
   json::object out{{"from", to_json(message.from)},
                    {"config_version", message.config_version},
+                   {"config_id", std::to_string(message.config_id)},
+                   {"config_revision", message.config_revision},
+                   {"config_age_ms", message.config_age.ms},
                    {"list_revision", message.list_revision},
                    {"list_id", std::to_string(message.list_id)},
                    {"list_age_ms", message.list_age.ms},
@@ -200,6 +203,8 @@
       out.from = read_peer(*from, good);
     }
     out.config_version = reader->integer("config_version", any_count);
+    out.config_revision = reader->integer("config_revision", any_count);
+    out.config_age = {reader->integer("config_age_ms", any_count)};
     out.list_revision = reader->integer("list_revision", any_count);
     out.list_age = {reader->integer("list_age_ms", any_count)};
     for (const json::object* pace : reader->objects("paces", true)) {
@@ -214,6 +219,7 @@
     if (reader->has("config")) {
       out.config = reader->text("config");
     }
+    good = good && read_number(reader->text("config_id"), out.config_id);
     good = good && read_number(reader->text("list_id"), out.list_id);
     good = good && read_number(reader->text("list_digest"), out.list_digest);
     if (reader->has("list")) {
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -29,7 +29,10 @@
 }  // namespace
 
 peer_set::peer_set(peer self, std::vector<endpoint> seeds, peer_set_settings settings)
-    : self_(std::move(self)), seeds_(std::move(seeds)), settings_(settings) {}
+    : self_(std::move(self)),
+      seeds_(std::move(seeds)),
+      settings_(settings),
+      order_(stable_hash(self_.vm)) {}
 
 peer_set::known_peer* peer_set::learn(const peer& about, bool first_hand, time_point now) {
   if (about.vm == self_.vm) {
@@ -37,6 +40,9 @@
   }
   const auto [found, is_new] = peers_.try_emplace(about.vm);
   known_peer& known = found->second;
+  if (is_new) {
+    known.order = stable_hash(about.vm);
+  }
   const bool restarted = known.about.incarnation != about.incarnation;
   // Hearsay of an earlier start may outlive a restart: only the process itself proves a new one.
   const bool newer = is_new || about.heartbeat > known.about.heartbeat || (first_hand && restarted);
@@ -147,15 +153,15 @@
   return changes;
 }
 
-std::size_t peer_set::reading_rank(time_point now) const {
-  const std::uint64_t own = stable_hash(self_.vm);
-  std::size_t rank = 0;
+store_position peer_set::position(time_point now) const {
+  store_position position;
   for (const auto& [vm, known] : peers_) {
-    if (alive(known, now) && stable_hash(vm) < own) {
-      ++rank;
+    if (known.order < order_ && alive(known, now)) {
+      ++position.in_fleet;
+      position.in_domain += known.about.failure_domain == self_.failure_domain ? 1 : 0;
     }
   }
-  return rank;
+  return position;
 }
 
 std::map<std::string, server_work, std::less<>> peer_set::work_of_peers(time_point now) const {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -35,6 +35,9 @@
 TEST_THAT(exchange, survives_its_own_encoding) {
   exchange_message message = message_from(make_peer("a", 77));
   message.config_version = 12;
+  message.config_id = 0xFFFF'FFFF'FFFF'FFFFULL;
+  message.config_revision = 899;
+  message.config_age = 130_ms;
   message.list_revision = 900;
   message.list_id = 0x0123'4567'89AB'CDEFULL;
   message.list_age = 250_ms;
@@ -55,6 +58,9 @@
   const auto decoded = decode(encode(message));
   CPPUNIT_ASSERT(decoded.has_value());
   CPPUNIT_ASSERT_EQUAL(message.from.heartbeat, decoded->from.heartbeat);
+  CPPUNIT_ASSERT_EQUAL(message.config_id, decoded->config_id);
+  CPPUNIT_ASSERT_EQUAL(message.config_revision, decoded->config_revision);
+  CPPUNIT_ASSERT_EQUAL(message.config_age.ms, decoded->config_age.ms);
   CPPUNIT_ASSERT_EQUAL(message.list_id, decoded->list_id);
   CPPUNIT_ASSERT_EQUAL(message.list_digest, decoded->list_digest);
   CPPUNIT_ASSERT_EQUAL(message.from.work.front().prefill_tokens,
@@ -113,9 +119,10 @@
 
 TEST_THAT(peer_set, names_each_live_vm_once_in_the_order_of_reading) {
   peer_set peers = three_peers(start);
-  const std::size_t among_three = peers.reading_rank(start);
-  CPPUNIT_ASSERT(among_three < 3);
-  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peers.reading_rank(start + 10_s));
+  const store_position among_three = peers.position(start);
+  CPPUNIT_ASSERT(among_three.in_fleet < 3);
+  CPPUNIT_ASSERT_EQUAL(among_three.in_fleet, among_three.in_domain);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peers.position(start + 10_s).in_fleet);
 }
 
 TEST_THAT(peer_set, keeps_every_vm_of_a_large_fleet_alive_through_hearsay) {
