Keep servers for streams that bear only short pauses

Cause: an engine reads prompts in pieces between the tokens of all streams there.

Change: the entry VMs keep the same few servers for pause-sensitive streams, by an order of the ids' hashes, passing over slow servers; long prompts are placed among the others. How many follows from the streams that run in the fleet, which exchanges tell now; none are kept where prompts wait long. A route is pause-sensitive where its pause is the shortest, others bear twice as long, and it allows less for a token than a step with a piece of a prompt takes.

Tests: a burst of both kinds before 40 servers, red without the reserve; none kept while prompts wait; streams go elsewhere when the kept servers are full.

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -34,6 +34,8 @@
   duration target_latency;
   /// Longest pause between events that the caller expects; 0 for none.
   duration target_gap;
+  /// True for a stream whose caller bears shorter pauses than long prompts beside it cause.
+  bool pause_sensitive = false;
   /// Events that the answer probably has; 0 where nothing is known.
   double expected_events = 0;
   /// Time until the request is given up.
@@ -56,6 +58,10 @@
   std::optional<endpoint> fetch_from;
   /// Place of the server in the rendezvous order of the shared prefix, 0 the first.
   std::uint32_t rank = 0;
+  /// Whether the request is a stream whose caller bears only short pauses.
+  bool pause_sensitive = false;
+  /// Whether the server is kept for such streams.
+  bool kept_for_streams = false;
   /// Requests known to run there.
   std::uint32_t running = 0;
   /// Servers compared.
@@ -79,6 +85,7 @@
   time_point sent_at;
   time_point last_event_at;
   bool first_event_seen = false;
+  bool pause_sensitive = false;
 };
 
 /// How sendings to one failure domain went: when its links are cut, each server there would
@@ -126,7 +133,8 @@
   void events(sending& what, std::uint32_t count, time_point now);
   void ended(const sending& what, send_end end, time_point now);
   /// Work of other entry VMs, which replaces what was known of it.
-  void apply_peer_work(const std::map<std::string, relay::server_work, std::less<>>& work);
+  void apply_peer_work(const std::map<std::string, relay::server_work, std::less<>>& work,
+                       time_point now);
   /// What another entry VM has seen of servers' speed.
   void apply_peer_paces(std::span<const relay::server_pace> paces, time_point now);
   /// \returns some of what this process has seen lately, each time the next in turn, at most
@@ -162,6 +170,8 @@
                                         double first_event_ms) const;
   [[nodiscard]] double loss_by_failure(const servers::server_entry& server,
                                        const server_state& state, time_point now) const;
+  /// Takes in the streams and the waiting prompts of the whole fleet.
+  void learn_fleet_load(time_point now);
   void learn_reachability(const sending& what, send_end end, time_point now);
   [[nodiscard]] double unreachable_share(std::string_view failure_domain, time_point now) const;
   void learn_prefill(const sending& what, const server_state& state, time_point now);
@@ -174,6 +184,10 @@
   std::map<std::string, reachability, std::less<>> domains_;
   /// The last server that `own_paces` gave.
   std::string last_pace_;
+  /// Pause-sensitive streams that run in the fleet, of late.
+  policy::decaying_mean streams_;
+  /// Prompt tokens that wait at a server in the mean, of late.
+  policy::decaying_mean waiting_tokens_;
   /// Prompt tokens that a server of usual speed reads in a millisecond.
   double tokens_per_ms_;
 };
--- a/include/hawthornnotch/dispatch/server_state.h
+++ b/include/hawthornnotch/dispatch/server_state.h
@@ -120,9 +120,14 @@
   std::uint32_t running = 0;
   /// Own prompt tokens sent whose request has no first event yet.
   std::uint64_t prefill_tokens = 0;
+  /// Own streams among them whose callers bear only short pauses.
+  std::uint32_t sensitive = 0;
   /// The same of other entry VMs.
   std::uint32_t peer_running = 0;
   std::uint64_t peer_prefill_tokens = 0;
+  std::uint32_t peer_sensitive = 0;
+  /// Place in the order in which servers are kept for streams; the same on all entry VMs.
+  std::uint64_t stream_order = 0;
   stream_pace pace;
   /// Time to the whole answer, for servers that are no engines, in ms.
   policy::decaying_mean answer_ms{duration{3'000}, 0.0, no_weight};
--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -23,6 +23,8 @@
   std::uint32_t running = 0;
   /// Prompt tokens of requests without a first event yet.
   std::uint64_t prefill_tokens = 0;
+  /// How many of the requests are streams whose callers bear only short pauses.
+  std::uint32_t sensitive = 0;
 };
 
 /// An entry VM, its sign of life and its work.
--- a/src/dispatch/candidate.cpp
+++ b/src/dispatch/candidate.cpp
@@ -15,12 +15,13 @@
 
 }  // namespace
 
-void rank_by_rendezvous(std::span<candidate> candidates, std::uint64_t prefix) {
+void rank_by_rendezvous(std::span<candidate> candidates, std::uint64_t prefix,
+                        bool pause_sensitive) {
   std::vector<placed> order;
   order.reserve(candidates.size());
   for (candidate& each : candidates) {
     each.rank = last_rank;
-    if (!each.avoided) {
+    if (!each.avoided && each.kept_for_streams == pause_sensitive) {
       order.push_back({stable_hash(each.server->id, prefix), &each});
     }
   }
--- a/src/dispatch/candidate.h
+++ b/src/dispatch/candidate.h
@@ -22,13 +22,20 @@
   const server_state* state = nullptr;
   // Passed over while others can take the request.
   bool avoided = false;
+  // Answers more slowly than most servers.
+  bool slow = false;
+  // Kept for streams whose callers bear only short pauses.
+  bool kept_for_streams = false;
   // Place in the rendezvous order of the prompt, at most `last_rank`.
   std::uint32_t rank = 0;
 };
 
-// Sets the ranks by the rendezvous order of a prefix, counted over servers that are not avoided:
-// all entry VMs find the same first servers without talking about them.
-void rank_by_rendezvous(std::span<candidate> candidates, std::uint64_t prefix);
+// Sets the ranks by the rendezvous order of a prefix, counted over servers that are not avoided and
+// are kept for requests like this one: all entry VMs find the same first servers without talking
+// about them.
+// \param pause_sensitive whether the request is a stream whose caller bears only short pauses.
+void rank_by_rendezvous(std::span<candidate> candidates, std::uint64_t prefix,
+                        bool pause_sensitive);
 
 // \pre the candidates are ranked
 // \returns the servers that most probably hold the prefix: the first two of the order.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 
 #include "candidate.h"
+#include "hawthornnotch/base/hash.h"
+#include "stream_reserve.h"
 
 namespace hawthornnotch::dispatch {
 
@@ -43,6 +45,18 @@
 constexpr double slow_loss = 0.1;
 /// Loss by an answer from another failure domain.
 constexpr double other_domain_loss = 0.005;
+/// Loss where a long prompt is read at a server that is kept for pause-sensitive streams: it delays
+/// all of them.
+constexpr double disturbance_loss = 0.3;
+/// Loss where a pause-sensitive stream runs beside long prompts, besides what the server's pauses
+/// tell: they are known with a delay.
+constexpr double unkept_loss = 0.3;
+/// A prompt of this many unread tokens delays streams by a whole pause; a shorter one by its part.
+constexpr double disturbing_tokens = 2'000.0;
+/// A server is slow where the time between its events is this many times the fleet's.
+constexpr double slow_factor = 1.4;
+/// Age at which a count of the fleet's streams and waiting prompts counts half.
+constexpr duration fleet_load_half_life{3'000};
 /// Time after which a failure domain that could not be reached is tried again.
 constexpr duration domain_retry{3'000};
 /// A failure domain is left when more than this part of the latest connections to it failed.
@@ -82,6 +96,8 @@
     : list_(list),
       failure_domain_(std::move(failure_domain)),
       random_(seed),
+      streams_(fleet_load_half_life, 0.0, no_weight),
+      waiting_tokens_(fleet_load_half_life, 0.0, no_weight),
       tokens_per_ms_(assumed_tokens_per_ms) {}
 
 server_state& dispatcher::state_of(const servers::server_entry& server) {
@@ -89,6 +105,7 @@
   if (state.born_ms != server.born_ms) {
     state = server_state{};
     state.born_ms = server.born_ms;
+    state.stream_order = stable_hash(server.id);
   }
   return state;
 }
@@ -143,7 +160,13 @@
   std::vector<endpoint> sources;
   if (is_engine) {
     fleet_gap = usual_gap_of_fleet(query.now);
-    internal::rank_by_rendezvous(candidates, shared_prefix(query.prefixes).hash);
+    for (internal::candidate& each : candidates) {
+      each.slow = each.state->pace.usual_ms(query.now) > slow_factor * fleet_gap;
+    }
+    internal::keep_for_streams(candidates,
+                               {streams_.value(), waiting_tokens_.value() / tokens_per_ms_});
+    internal::rank_by_rendezvous(candidates, shared_prefix(query.prefixes).hash,
+                                 query.pause_sensitive);
     sources = internal::holders(candidates);
   }
   placement best;
@@ -155,6 +178,8 @@
     }
     placement next;
     next.rank = each.rank;
+    next.pause_sensitive = query.pause_sensitive;
+    next.kept_for_streams = each.kept_for_streams;
     if (is_engine) {
       next.fetch_from = first_besides(each.server->address, sources);
       weigh_engine(query, each, fleet_gap, next);
@@ -228,6 +253,11 @@
   out.loss += reread_loss * reread_part.at(out.rank) * shared_unread / tokens_per_unit;
   out.loss += full_loss * taken * taken;
   out.loss += loss_by_failure(server, state, query.now);
+  if (at.kept_for_streams && !query.pause_sensitive) {
+    out.loss += disturbance_loss * std::min(1.0, out.uncached_tokens / disturbing_tokens);
+  } else if (at.kept_for_streams != query.pause_sensitive) {
+    out.loss += unkept_loss;
+  }
 }
 
 void dispatcher::weigh_service(const placement_query& query, const internal::candidate& at,
@@ -248,6 +278,7 @@
                          time_point now) {
   server_state& state = state_of(chosen.server);
   ++state.running;
+  state.sensitive += chosen.pause_sensitive ? 1 : 0;
   state.prefill_tokens += chosen.uncached_tokens;
   state.cache.used(prefixes);
   sending out;
@@ -256,6 +287,7 @@
   out.born_ms = chosen.server.born_ms;
   out.uncached_tokens = chosen.uncached_tokens;
   out.prefixes = std::move(prefixes);
+  out.pause_sensitive = chosen.pause_sensitive;
   out.sent_at = now;
   out.last_event_at = now;
   return out;
@@ -316,6 +348,7 @@
     return;
   }
   state->running -= std::min(state->running, 1U);
+  state->sensitive -= std::min(state->sensitive, what.pause_sensitive ? 1U : 0U);
   if (!what.first_event_seen) {
     state->prefill_tokens -= std::min<std::uint64_t>(state->prefill_tokens, what.uncached_tokens);
   }
@@ -326,13 +359,27 @@
   }
 }
 
-void dispatcher::apply_peer_work(
-    const std::map<std::string, relay::server_work, std::less<>>& work) {
+void dispatcher::apply_peer_work(const std::map<std::string, relay::server_work, std::less<>>& work,
+                                 time_point now) {
   for (auto& [id, state] : states_) {
     const auto found = work.find(id);
     state.peer_running = found == work.end() ? 0 : found->second.running;
     state.peer_prefill_tokens = found == work.end() ? 0 : found->second.prefill_tokens;
+    state.peer_sensitive = found == work.end() ? 0 : found->second.sensitive;
+  }
+  learn_fleet_load(now);
+}
+
+void dispatcher::learn_fleet_load(time_point now) {
+  std::uint64_t streams = 0;
+  std::uint64_t waiting = 0;
+  for (const auto& [id, state] : states_) {
+    streams += state.sensitive + state.peer_sensitive;
+    waiting += state.all_prefill_tokens();
   }
+  const auto servers = static_cast<double>(std::max<std::size_t>(states_.size(), 1));
+  streams_.add(static_cast<double>(streams), 1.0, now);
+  waiting_tokens_.add(static_cast<double>(waiting) / servers, 1.0, now);
 }
 
 void dispatcher::apply_peer_paces(std::span<const relay::server_pace> paces, time_point now) {
@@ -394,7 +441,7 @@
   std::vector<relay::server_work> out;
   for (const auto& [id, state] : states_) {
     if (state.running > 0) {
-      out.push_back({id, state.running, state.prefill_tokens});
+      out.push_back({id, state.running, state.prefill_tokens, state.sensitive});
     }
   }
   return out;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -159,6 +159,7 @@
     query.prefixes = prefixes_;
     query.target_latency = route_->target_latency;
     query.target_gap = route_->target_gap;
+    query.pause_sensitive = table_->is_pause_sensitive(*route_);
     query.expected_events = expected_events_;
     query.time_left = left();
     query.tried = tried_;
@@ -276,6 +277,7 @@
              {"resume_after", splitter_.last_id().value_or(0)},
              {"rank", to.rank},
              {"copies_prompt", to.fetch_from.has_value()},
+             {"kept_for_streams", to.kept_for_streams},
              {"candidates", to.candidates},
              {"unread_tokens", to.uncached_tokens},
              {"server_running", to.running},
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -22,7 +22,10 @@
 }
 
 json::object to_json(const server_work& work) {
-  return {{"server", work.server}, {"running", work.running}, {"prefill", work.prefill_tokens}};
+  return {{"server", work.server},
+          {"running", work.running},
+          {"prefill", work.prefill_tokens},
+          {"sensitive", work.sensitive}};
 }
 
 json::object to_json(const peer& each);
@@ -101,6 +104,8 @@
   out.running = static_cast<std::uint32_t>(
       reader->integer("running", {0, std::numeric_limits<std::uint32_t>::max()}));
   out.prefill_tokens = static_cast<std::uint64_t>(reader->integer("prefill", any_count));
+  out.sensitive = static_cast<std::uint32_t>(
+      reader->integer("sensitive", {0, std::numeric_limits<std::uint32_t>::max()}));
   return out;
 }
 
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -21,6 +21,7 @@
 void extrapolate(std::map<std::string, server_work, std::less<>>& sum, double factor) {
   for (auto& [server, work] : sum) {
     work.running = static_cast<std::uint32_t>(work.running * factor);
+    work.sensitive = static_cast<std::uint32_t>(work.sensitive * factor);
     work.prefill_tokens =
         static_cast<std::uint64_t>(static_cast<double>(work.prefill_tokens) * factor);
   }
@@ -179,6 +180,7 @@
       into.server = work.server;
       into.running += work.running;
       into.prefill_tokens += work.prefill_tokens;
+      into.sensitive += work.sensitive;
     }
   }
   if (heard > 0 && living > heard) {
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+/// How many times longer the longest pause that callers bear must be than the shortest.
+constexpr std::int64_t least_ratio = 2;
+/// Time of an engine's step in which it also reads a piece of a prompt; one step makes one token.
+constexpr duration step_beside_prompt{60};
+
 bool begins_with(std::string_view path, std::string_view prefix) {
   return path.substr(0, prefix.size()) == prefix;
 }
@@ -29,6 +34,9 @@
   for (const route& each : config_.routes) {
     by_host_[each.host].push_back(&each);
     route_priorities_.insert(each.priority);
+    if (each.kind == repeatability::event_stream && each.target_gap > duration{0}) {
+      target_gaps_ms_.insert(each.target_gap.ms);
+    }
   }
   for (auto& [host, found] : by_host_) {
     std::stable_sort(found.begin(), found.end(), longer_prefix);
@@ -96,6 +104,17 @@
   return static_cast<std::uint32_t>(outer * route_priorities_.size() + inner);
 }
 
+bool route_table::is_pause_sensitive(const route& which) const {
+  const service_definition* served_by = service(which.services.front().service);
+  if (served_by == nullptr || !served_by->engine || target_gaps_ms_.empty()) {
+    return false;
+  }
+  const bool shortest = which.target_gap.ms == *target_gaps_ms_.begin();
+  const bool others_wait = *target_gaps_ms_.rbegin() >= least_ratio * which.target_gap.ms;
+  const std::int64_t tokens = std::max(1U, served_by->engine->tokens_per_event);
+  return shortest && others_wait && which.target_gap < step_beside_prompt * tokens;
+}
+
 bool config_holder::offer(std::shared_ptr<const route_table> newer) {
   if (!newer || newer->version() <= version()) {
     return false;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -58,6 +58,37 @@
     return *chosen;
   }
 
+  // A short prompt whose caller bears only short pauses.
+  placement choose_stream(dispatcher& at, std::uint64_t request) const {
+    const auto prefixes = short_prompt(request);
+    placement_query query;
+    query.service = "forecast";
+    query.prefixes = prefixes;
+    query.target_latency = 1_s;
+    query.target_gap = 250_ms;
+    query.pause_sensitive = true;
+    query.time_left = 15_s;
+    query.now = now;
+    const auto chosen = at.choose(query);
+    CPPUNIT_ASSERT(chosen.has_value());
+    return *chosen;
+  }
+
+  static std::vector<prompt_prefix> short_prompt(std::uint64_t request) {
+    prompt_shape prompt;
+    prompt.parts = {{request % 7, 350}, {1'000'000 + request, 1'100}};
+    return prefixes_of(prompt);
+  }
+
+  // Tells the entry VM that each server runs so many requests of other entry VMs.
+  void tell_work(dispatcher& to, std::uint32_t sensitive, std::uint64_t prefill_tokens) const {
+    std::map<std::string, relay::server_work, std::less<>> work;
+    for (const servers::server_entry* server : list.serving("forecast")) {
+      work[server->id] = {server->id, 3, prefill_tokens, sensitive};
+    }
+    to.apply_peer_work(work, now);
+  }
+
   time_point now{1'000'000};
   servers::server_list list{servers::server_list_settings{}};
 };
@@ -117,7 +148,7 @@
   }
   std::set<std::string> used;
   for (std::uint64_t request = 1; request <= 60; ++request) {
-    entry.apply_peer_work(work);
+    entry.apply_peer_work(work, fleet.now);
     const placement chosen = fleet.choose(entry, prompt_about(7, request));
     used.insert(chosen.server.id);
     work[chosen.server.id].running += 1;
@@ -146,7 +177,7 @@
   const placement home = fleet.choose(entry, prompt_about(7, 1));
   std::map<std::string, relay::server_work, std::less<>> work;
   work[home.server.id] = {home.server.id, 20, 200'000};
-  entry.apply_peer_work(work);
+  entry.apply_peer_work(work, fleet.now);
   const placement other = fleet.choose(entry, prompt_about(7, 2));
   CPPUNIT_ASSERT(home.server.id != other.server.id);
 }
@@ -371,5 +402,69 @@
   CPPUNIT_ASSERT(budget.take("forecast", entry_vms, now + 10_s + 1_ms));
 }
 
+// Long prompts and streams that bear only short pauses, many of each at once: beside the prompts
+// most of these streams would be late.
+TEST_THAT(dispatcher, keeps_servers_for_streams_that_bear_only_short_pauses) {
+  fleet_case fleet(40);
+  dispatcher first(fleet.list, "zg-istok", 1);
+  dispatcher second(fleet.list, "vz-jug", 2);
+  for (dispatcher* entry : {&first, &second}) {
+    (void)fleet.choose(*entry, prompt_about(1, 1));
+    fleet.tell_work(*entry, 2, 2'000);
+  }
+  std::set<std::string> of_streams;
+  std::set<std::string> of_prompts;
+  for (std::uint64_t request = 1; request <= 100; ++request) {
+    of_streams.insert(fleet.choose_stream(first, request).server.id);
+    of_streams.insert(fleet.choose_stream(second, request).server.id);
+    of_prompts.insert(fleet.choose(first, prompt_about(request, request)).server.id);
+    of_prompts.insert(fleet.choose(second, prompt_about(request, request)).server.id);
+  }
+  // 80 streams, 12 at a server.
+  CPPUNIT_ASSERT(of_streams.size() <= 7);
+  for (const std::string& server : of_streams) {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, of_prompts.count(server));
+  }
+}
+
+// A burst of long prompts that fills all servers: the streams' reserve would cost more answers than
+// it saves.
+TEST_THAT(dispatcher, keeps_no_server_for_streams_while_prompts_wait_long) {
+  fleet_case fleet(40);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  (void)fleet.choose(entry, prompt_about(1, 1));
+  fleet.tell_work(entry, 2, 80'000);
+  std::set<std::string> of_prompts;
+  for (std::uint64_t topic = 1; topic <= 400; ++topic) {
+    const placement chosen = fleet.choose(entry, prompt_about(topic, topic));
+    CPPUNIT_ASSERT(!chosen.kept_for_streams);
+    of_prompts.insert(chosen.server.id);
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{40}, of_prompts.size());
+}
+
+TEST_THAT(dispatcher, uses_all_servers_alike_where_no_sensitive_streams_run) {
+  fleet_case fleet(40);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  (void)fleet.choose(entry, prompt_about(1, 1));
+  fleet.tell_work(entry, 0, 2'000);
+  CPPUNIT_ASSERT(!fleet.choose(entry, prompt_about(2, 2)).kept_for_streams);
+  CPPUNIT_ASSERT(!fleet.choose_stream(entry, 3).kept_for_streams);
+}
+
+TEST_THAT(dispatcher, sends_streams_elsewhere_when_the_kept_servers_are_full) {
+  fleet_case fleet(40);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  (void)fleet.choose(entry, prompt_about(1, 1));
+  fleet.tell_work(entry, 1, 2'000);
+  bool spilled = false;
+  for (std::uint64_t request = 1; request <= 1'000 && !spilled; ++request) {
+    const placement chosen = fleet.choose_stream(entry, request);
+    (void)entry.sent(chosen, fleet_case::short_prompt(request), fleet.now);
+    spilled = !chosen.kept_for_streams;
+  }
+  CPPUNIT_ASSERT(spilled);
+}
+
 }  // namespace
 }  // namespace hawthornnotch::dispatch
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -42,7 +42,7 @@
   message.list_id = 0x0123'4567'89AB'CDEFULL;
   message.list_age = 250_ms;
   message.list_digest = 0xFEDC'BA98'7654'3210ULL;
-  message.from.work = {{"s1", 3, 17'000}};
+  message.from.work = {{"s1", 3, 17'000, 2}};
   message.paces = {{"s1", 1'700'000'000'000, 12.0, 40.0}};
   message.absences = {{"s9", duration{4'500}}};
   message.peers = {make_peer("b")};
@@ -65,6 +65,7 @@
   CPPUNIT_ASSERT_EQUAL(message.list_digest, decoded->list_digest);
   CPPUNIT_ASSERT_EQUAL(message.from.work.front().prefill_tokens,
                        decoded->from.work.front().prefill_tokens);
+  CPPUNIT_ASSERT_EQUAL(message.from.work.front().sensitive, decoded->from.work.front().sensitive);
   CPPUNIT_ASSERT_EQUAL(std::string("s9"), decoded->absences.at(0).server);
   CPPUNIT_ASSERT_EQUAL(std::int64_t{4'500}, decoded->absences.at(0).remaining.ms);
   CPPUNIT_ASSERT_EQUAL(message.paces.front().long_gap_ms, decoded->paces.front().long_gap_ms);
--- a/tests/routes/route_table_test.cpp
+++ b/tests/routes/route_table_test.cpp
@@ -99,5 +99,36 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, held.version());
 }
 
+route make_stream(std::string name, duration target_gap) {
+  route made = make_route(std::move(name), "ice.example", "/");
+  made.kind = repeatability::event_stream;
+  made.target_gap = target_gap;
+  return made;
+}
+
+// \returns names of the routes whose streams are pause-sensitive.
+std::vector<std::string> sensitive_routes(std::uint32_t tokens_per_event) {
+  routing_config config;
+  config.routes = {make_stream("bulletins", duration{1'000}), make_stream("queries", duration{250}),
+                   make_route("orders", "ice.example", "/orders/")};
+  config.services = {{"forecast", engine_profile{48, tokens_per_event}}};
+  const auto table = route_table::create(std::move(config));
+  std::vector<std::string> names;
+  for (const route& each : table->config().routes) {
+    if (table->is_pause_sensitive(each)) {
+      names.push_back(each.name);
+    }
+  }
+  return names;
+}
+
+TEST_THAT(route_table, names_the_streams_that_bear_much_shorter_pauses_than_others) {
+  CPPUNIT_ASSERT(sensitive_routes(5) == std::vector<std::string>{"queries"});
+}
+
+TEST_THAT(route_table, names_no_stream_that_bears_a_prompt_read_between_any_two_tokens) {
+  CPPUNIT_ASSERT(sensitive_routes(2).empty());
+}
+
 }  // namespace
 }  // namespace hawthornnotch::routes
