Name the module by its schedule; give confirmations and pauses a place of their own

reading_schedule was in a file named after a word that nothing in it has; what VMs tell of the age of their knowledge is a module now, and the loss by pauses a named rule. No change of behaviour.

--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -13,7 +13,7 @@
 #include "hawthornnotch/base/clock.h"
 #include "hawthornnotch/base/random.h"
 #include "hawthornnotch/relay/exchange.h"
-#include "hawthornnotch/relay/store_turn.h"
+#include "hawthornnotch/relay/reading_schedule.h"
 
 namespace hawthornnotch::relay {
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -84,6 +84,15 @@
   return found == holders.end() ? std::nullopt : std::optional(*found);
 }
 
+// What a request loses, or makes the streams there lose, at a server that is not kept for its kind.
+double loss_by_pauses(bool kept_for_streams, bool pause_sensitive, double unread_tokens) {
+  if (kept_for_streams == pause_sensitive) {
+    return 0;
+  }
+  const double disturbance = disturbance_loss * std::min(1.0, unread_tokens / disturbing_tokens);
+  return pause_sensitive ? unkept_loss : disturbance;
+}
+
 // The shared prefix is the one before the whole prompt.
 prompt_prefix shared_prefix(std::span<const prompt_prefix> prefixes) {
   return prefixes.size() < 2 ? prompt_prefix{} : prefixes[prefixes.size() - 2];
@@ -253,11 +262,7 @@
   out.loss += reread_loss * reread_part.at(out.rank) * shared_unread / tokens_per_unit;
   out.loss += full_loss * taken * taken;
   out.loss += loss_by_failure(server, state, query.now);
-  if (at.kept_for_streams && !query.pause_sensitive) {
-    out.loss += disturbance_loss * std::min(1.0, out.uncached_tokens / disturbing_tokens);
-  } else if (at.kept_for_streams != query.pause_sensitive) {
-    out.loss += unkept_loss;
-  }
+  out.loss += loss_by_pauses(at.kept_for_streams, query.pause_sensitive, out.uncached_tokens);
 }
 
 void dispatcher::weigh_service(const placement_query& query, const internal::candidate& at,
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -13,8 +13,8 @@
 #include "hawthornnotch/gateway/settings.h"
 #include "hawthornnotch/net/http_client.h"
 #include "hawthornnotch/observe/metrics.h"
+#include "hawthornnotch/relay/confirmation.h"
 #include "hawthornnotch/relay/peer_set.h"
-#include "hawthornnotch/relay/store_turn.h"
 #include "hawthornnotch/routes/route_table.h"
 #include "hawthornnotch/servers/server_list.h"
 
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -7,7 +7,8 @@
 #include <string_view>
 
 #include "hawthornnotch/platform/client.h"
-#include "hawthornnotch/relay/store_turn.h"
+#include "hawthornnotch/relay/confirmation.h"
+#include "hawthornnotch/relay/reading_schedule.h"
 #include "state.h"
 
 namespace hawthornnotch::gateway::internal {
--- a/src/gateway/store_registration.h
+++ b/src/gateway/store_registration.h
@@ -6,7 +6,7 @@
 #include <span>
 
 #include "hawthornnotch/platform/client.h"
-#include "hawthornnotch/relay/store_turn.h"
+#include "hawthornnotch/relay/reading_schedule.h"
 #include "state.h"
 #include "store_follower.h"
 
--- a/src/relay/store_turn.cpp
+++ b/src/relay/reading_schedule.cpp
@@ -1,4 +1,4 @@
-#include "hawthornnotch/relay/store_turn.h"
+#include "hawthornnotch/relay/reading_schedule.h"
 
 #include <algorithm>
 
@@ -115,21 +115,4 @@
   return part_of(settings_.bound, goes_on ? first_part : short_watch_part);
 }
 
-bool take_newer(confirmation& known, const confirmation& heard) {
-  if (heard.revision == 0) {
-    return false;
-  }
-  if (heard.id == known.id) {
-    known.at = std::min(known.at, heard.at);
-    return false;
-  }
-  // The store's revision stands still while nothing changes: then the later look is newer.
-  const bool newer =
-      heard.revision > known.revision || (heard.revision == known.revision && heard.at > known.at);
-  if (newer) {
-    known = heard;
-  }
-  return newer;
-}
-
 }  // namespace hawthornnotch::relay
--- a/tests/relay/fleet_model.h
+++ b/tests/relay/fleet_model.h
@@ -6,8 +6,9 @@
 #include <functional>
 #include <vector>
 
+#include "hawthornnotch/relay/confirmation.h"
 #include "hawthornnotch/relay/peer_set.h"
-#include "hawthornnotch/relay/store_turn.h"
+#include "hawthornnotch/relay/reading_schedule.h"
 
 namespace hawthornnotch::relay {
 
--- a/tests/relay/store_turn_test.cpp
+++ b/tests/relay/reading_schedule_test.cpp
@@ -35,7 +35,7 @@
   return oldest;
 }
 
-TEST_THAT(store_turn, makes_no_more_calls_for_a_larger_fleet) {
+TEST_THAT(reading_schedule, makes_no_more_calls_for_a_larger_fleet) {
   for (const reading_kind kind : {reading_kind::polled, reading_kind::watched}) {
     const std::uint64_t small = steady_calls(30, kind, 20_s);
     const std::uint64_t large = steady_calls(300, kind, 20_s);
@@ -45,7 +45,7 @@
   }
 }
 
-TEST_THAT(store_turn, keeps_knowledge_within_its_bound_at_every_vm) {
+TEST_THAT(reading_schedule, keeps_knowledge_within_its_bound_at_every_vm) {
   for (const reading_kind kind : {reading_kind::polled, reading_kind::watched}) {
     fleet_model fleet(fleet_of(300, kind));
     fleet.run_for(settling);
@@ -53,7 +53,7 @@
   }
 }
 
-TEST_THAT(store_turn, makes_less_than_a_call_a_vm_in_an_outage_and_is_up_to_date_soon_after) {
+TEST_THAT(reading_schedule, makes_less_than_a_call_a_vm_in_an_outage_and_is_up_to_date_soon_after) {
   fleet_model fleet(fleet_of(300));
   fleet.run_for(settling);
   const std::uint64_t before = fleet.calls();
@@ -65,7 +65,7 @@
   CPPUNIT_ASSERT(*fleet.greatest_age() < 4_s);
 }
 
-TEST_THAT(store_turn, starts_a_whole_fleet_with_few_calls) {
+TEST_THAT(reading_schedule, starts_a_whole_fleet_with_few_calls) {
   for (const reading_kind kind : {reading_kind::polled, reading_kind::watched}) {
     fleet_model fleet(fleet_of(300, kind));
     fleet.run_for(settling);
@@ -78,7 +78,7 @@
   }
 }
 
-TEST_THAT(store_turn, lets_a_failure_domain_that_is_cut_off_read_for_itself) {
+TEST_THAT(reading_schedule, lets_a_failure_domain_that_is_cut_off_read_for_itself) {
   fleet_model fleet(fleet_of(60));
   fleet.run_for(settling);
   const std::size_t first = fleet.first();
@@ -86,7 +86,7 @@
   CPPUNIT_ASSERT(oldest_within(fleet, 10_s) < 4_s);
 }
 
-TEST_THAT(store_turn, passes_to_the_next_where_the_store_refuses_or_loses_the_first) {
+TEST_THAT(reading_schedule, passes_to_the_next_where_the_store_refuses_or_loses_the_first) {
   for (const reading_kind kind : {reading_kind::polled, reading_kind::watched}) {
     fleet_model fleet(fleet_of(60, kind));
     fleet.run_for(settling);
@@ -99,7 +99,7 @@
   }
 }
 
-TEST_THAT(store_turn, has_two_vms_of_each_failure_domain_keep_an_entry) {
+TEST_THAT(reading_schedule, has_two_vms_of_each_failure_domain_keep_an_entry) {
   CPPUNIT_ASSERT(keeps_entry({40, 0}));
   CPPUNIT_ASSERT(keeps_entry({40, 1}));
   CPPUNIT_ASSERT(!keeps_entry({40, 2}));
