Count streams and waiting prompts of each service by itself

Found in reading the diff: the reserve for pause-sensitive streams took the streams of all services, so that with several models each service would have kept servers for the streams of all, and judged its prompts by the mean over plain services as well. Test with two services (written with the mend, not seen red).

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -98,6 +98,16 @@
   time_point last_missing;
 };
 
+/// Work of one service in the whole fleet, of late.
+struct service_load {
+  /// Age at which a count counts half.
+  static constexpr duration half_life{3'000};
+  /// Running streams whose callers bear only short pauses.
+  policy::decaying_mean streams{half_life, 0.0, no_weight};
+  /// Prompt tokens that wait at a server in the mean.
+  policy::decaying_mean waiting_tokens{half_life, 0.0, no_weight};
+};
+
 /// Shown in logs and metrics.
 struct server_summary {
   std::string id;
@@ -133,8 +143,7 @@
   void events(sending& what, std::uint32_t count, time_point now);
   void ended(const sending& what, send_end end, time_point now);
   /// Work of other entry VMs, which replaces what was known of it.
-  void apply_peer_work(const std::map<std::string, relay::server_work, std::less<>>& work,
-                       time_point now);
+  void apply_peer_work(const std::map<std::string, relay::server_work, std::less<>>& work);
   /// What another entry VM has seen of servers' speed.
   void apply_peer_paces(std::span<const relay::server_pace> paces, time_point now);
   /// \returns some of what this process has seen lately, each time the next in turn, at most
@@ -170,8 +179,9 @@
                                         double first_event_ms) const;
   [[nodiscard]] double loss_by_failure(const servers::server_entry& server,
                                        const server_state& state, time_point now) const;
-  /// Takes in the streams and the waiting prompts of the whole fleet.
-  void learn_fleet_load(time_point now);
+  /// Ranks a prompt's servers, after those are marked that are kept for streams.
+  void rank_engines(const placement_query& query, double fleet_gap,
+                    std::span<internal::candidate> candidates);
   void learn_reachability(const sending& what, send_end end, time_point now);
   [[nodiscard]] double unreachable_share(std::string_view failure_domain, time_point now) const;
   void learn_prefill(const sending& what, const server_state& state, time_point now);
@@ -184,10 +194,8 @@
   std::map<std::string, reachability, std::less<>> domains_;
   /// The last server that `own_paces` gave.
   std::string last_pace_;
-  /// Pause-sensitive streams that run in the fleet, of late.
-  policy::decaying_mean streams_;
-  /// Prompt tokens that wait at a server in the mean, of late.
-  policy::decaying_mean waiting_tokens_;
+  /// By service.
+  std::map<std::string, service_load, std::less<>> loads_;
   /// Prompt tokens that a server of usual speed reads in a millisecond.
   double tokens_per_ms_;
 };
--- a/include/hawthornnotch/routes/route_table.h
+++ b/include/hawthornnotch/routes/route_table.h
@@ -4,6 +4,7 @@
 #define HAWTHORNNOTCH_ROUTES_ROUTE_TABLE_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -57,8 +58,8 @@
   /// \param workspace null for a request without one, which ranks with the most urgent.
   /// \returns 0 for the most urgent; all levels up to the highest one are in use.
   [[nodiscard]] std::uint32_t urgency(const route& of, const workspace_access* workspace) const;
-  /// Streams with the shortest pauses of all, where others bear much longer ones: prompts that are
-  /// read beside them make them late.
+  /// Streams with the shortest pauses of their service, where others bear much longer ones: prompts
+  /// that are read beside them make them late.
   /// \returns whether the route's streams are such.
   [[nodiscard]] bool is_pause_sensitive(const route& which) const;
   [[nodiscard]] const routing_config& config() const { return config_; }
@@ -75,8 +76,8 @@
   /// The priorities that occur, in order.
   std::set<std::uint32_t> workspace_priorities_;
   std::set<std::uint32_t> route_priorities_;
-  /// Pauses that callers of streams expect, of the routes that state one.
-  std::set<std::int64_t> target_gaps_ms_;
+  /// Pauses that callers of a service's streams expect, in ms, of the routes that state one.
+  std::map<std::string, std::set<std::int64_t>, std::less<>> target_gaps_ms_;
 };
 
 /// Keeps the newest version: an older one is never taken again.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -55,8 +55,6 @@
 constexpr double disturbing_tokens = 2'000.0;
 /// A server is slow where the time between its events is this many times the fleet's.
 constexpr double slow_factor = 1.4;
-/// Age at which a count of the fleet's streams and waiting prompts counts half.
-constexpr duration fleet_load_half_life{3'000};
 /// Time after which a failure domain that could not be reached is tried again.
 constexpr duration domain_retry{3'000};
 /// A failure domain is left when more than this part of the latest connections to it failed.
@@ -105,8 +103,6 @@
     : list_(list),
       failure_domain_(std::move(failure_domain)),
       random_(seed),
-      streams_(fleet_load_half_life, 0.0, no_weight),
-      waiting_tokens_(fleet_load_half_life, 0.0, no_weight),
       tokens_per_ms_(assumed_tokens_per_ms) {}
 
 server_state& dispatcher::state_of(const servers::server_entry& server) {
@@ -169,13 +165,7 @@
   std::vector<endpoint> sources;
   if (is_engine) {
     fleet_gap = usual_gap_of_fleet(query.now);
-    for (internal::candidate& each : candidates) {
-      each.slow = each.state->pace.usual_ms(query.now) > slow_factor * fleet_gap;
-    }
-    internal::keep_for_streams(candidates,
-                               {streams_.value(), waiting_tokens_.value() / tokens_per_ms_});
-    internal::rank_by_rendezvous(candidates, shared_prefix(query.prefixes).hash,
-                                 query.pause_sensitive);
+    rank_engines(query, fleet_gap, candidates);
     sources = internal::holders(candidates);
   }
   placement best;
@@ -211,6 +201,25 @@
   return best;
 }
 
+void dispatcher::rank_engines(const placement_query& query, double fleet_gap,
+                              std::span<internal::candidate> candidates) {
+  std::uint64_t streams = 0;
+  std::uint64_t waiting = 0;
+  for (internal::candidate& each : candidates) {
+    each.slow = each.state->pace.usual_ms(query.now) > slow_factor * fleet_gap;
+    streams += each.state->sensitive + each.state->peer_sensitive;
+    waiting += each.state->all_prefill_tokens();
+  }
+  const double mean_waiting = static_cast<double>(waiting) / static_cast<double>(candidates.size());
+  service_load& load = loads_[std::string(query.service)];
+  load.streams.add(static_cast<double>(streams), 1.0, query.now);
+  load.waiting_tokens.add(mean_waiting, 1.0, query.now);
+  const double waiting_ms = load.waiting_tokens.value() / tokens_per_ms_;
+  internal::keep_for_streams(candidates, {load.streams.value(), waiting_ms});
+  internal::rank_by_rendezvous(candidates, shared_prefix(query.prefixes).hash,
+                               query.pause_sensitive);
+}
+
 bool dispatcher::avoided(const servers::server_entry& server, const server_state& state,
                          time_point now) const {
   return state.health.avoided(now) ||
@@ -364,27 +373,14 @@
   }
 }
 
-void dispatcher::apply_peer_work(const std::map<std::string, relay::server_work, std::less<>>& work,
-                                 time_point now) {
+void dispatcher::apply_peer_work(
+    const std::map<std::string, relay::server_work, std::less<>>& work) {
   for (auto& [id, state] : states_) {
     const auto found = work.find(id);
     state.peer_running = found == work.end() ? 0 : found->second.running;
     state.peer_prefill_tokens = found == work.end() ? 0 : found->second.prefill_tokens;
     state.peer_sensitive = found == work.end() ? 0 : found->second.sensitive;
   }
-  learn_fleet_load(now);
-}
-
-void dispatcher::learn_fleet_load(time_point now) {
-  std::uint64_t streams = 0;
-  std::uint64_t waiting = 0;
-  for (const auto& [id, state] : states_) {
-    streams += state.sensitive + state.peer_sensitive;
-    waiting += state.all_prefill_tokens();
-  }
-  const auto servers = static_cast<double>(std::max<std::size_t>(states_.size(), 1));
-  streams_.add(static_cast<double>(streams), 1.0, now);
-  waiting_tokens_.add(static_cast<double>(waiting) / servers, 1.0, now);
 }
 
 void dispatcher::apply_peer_paces(std::span<const relay::server_pace> paces, time_point now) {
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -168,7 +168,7 @@
   shared_.peers.heard(message, now);
   shared_.dispatcher.apply_peer_paces(message.paces, now);
   shared_.dispatcher.apply_absences(message.absences, now);
-  shared_.dispatcher.apply_peer_work(shared_.peers.work_of_peers(now), now);
+  shared_.dispatcher.apply_peer_work(shared_.peers.work_of_peers(now));
   if (message.config) {
     known_.offer_config(*message.config, message.from.vm);
   }
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -35,7 +35,9 @@
     by_host_[each.host].push_back(&each);
     route_priorities_.insert(each.priority);
     if (each.kind == repeatability::event_stream && each.target_gap > duration{0}) {
-      target_gaps_ms_.insert(each.target_gap.ms);
+      for (const weighted_service& part : each.services) {
+        target_gaps_ms_[part.service].insert(each.target_gap.ms);
+      }
     }
   }
   for (auto& [host, found] : by_host_) {
@@ -105,12 +107,14 @@
 }
 
 bool route_table::is_pause_sensitive(const route& which) const {
-  const service_definition* served_by = service(which.services.front().service);
-  if (served_by == nullptr || !served_by->engine || target_gaps_ms_.empty()) {
+  const std::string& name = which.services.front().service;
+  const service_definition* served_by = service(name);
+  const auto gaps = target_gaps_ms_.find(name);
+  if (served_by == nullptr || !served_by->engine || gaps == target_gaps_ms_.end()) {
     return false;
   }
-  const bool shortest = which.target_gap.ms == *target_gaps_ms_.begin();
-  const bool others_wait = *target_gaps_ms_.rbegin() >= least_ratio * which.target_gap.ms;
+  const bool shortest = which.target_gap.ms == *gaps->second.begin();
+  const bool others_wait = *gaps->second.rbegin() >= least_ratio * which.target_gap.ms;
   const std::int64_t tokens = std::max(1U, served_by->engine->tokens_per_event);
   return shortest && others_wait && which.target_gap < step_beside_prompt * tokens;
 }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -86,7 +86,7 @@
     for (const servers::server_entry* server : list.serving("forecast")) {
       work[server->id] = {server->id, 3, prefill_tokens, sensitive};
     }
-    to.apply_peer_work(work, now);
+    to.apply_peer_work(work);
   }
 
   time_point now{1'000'000};
@@ -148,7 +148,7 @@
   }
   std::set<std::string> used;
   for (std::uint64_t request = 1; request <= 60; ++request) {
-    entry.apply_peer_work(work, fleet.now);
+    entry.apply_peer_work(work);
     const placement chosen = fleet.choose(entry, prompt_about(7, request));
     used.insert(chosen.server.id);
     work[chosen.server.id].running += 1;
@@ -177,7 +177,7 @@
   const placement home = fleet.choose(entry, prompt_about(7, 1));
   std::map<std::string, relay::server_work, std::less<>> work;
   work[home.server.id] = {home.server.id, 20, 200'000};
-  entry.apply_peer_work(work, fleet.now);
+  entry.apply_peer_work(work);
   const placement other = fleet.choose(entry, prompt_about(7, 2));
   CPPUNIT_ASSERT(home.server.id != other.server.id);
 }
@@ -466,5 +466,32 @@
   CPPUNIT_ASSERT(spilled);
 }
 
+TEST_THAT(dispatcher, counts_the_streams_of_each_service_by_itself) {
+  fleet_case fleet(40);
+  servers::list_reading reading = *fleet.list.newest();
+  ++reading.revision;
+  ++reading.id;
+  for (std::size_t index = 0; index < 20; ++index) {
+    reading.entries.push_back(
+        make_server("other" + std::to_string(index), static_cast<std::uint16_t>(9000 + index)));
+    reading.entries.back().service = "other";
+  }
+  fleet.list.apply(reading, fleet.now);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  (void)fleet.choose(entry, prompt_about(1, 1));
+  fleet.tell_work(entry, 2, 2'000);
+  (void)fleet.choose_stream(entry, 1);
+  placement_query query;
+  query.service = "other";
+  const auto prefixes = fleet_case::short_prompt(1);
+  query.prefixes = prefixes;
+  query.target_latency = 1_s;
+  query.pause_sensitive = true;
+  query.time_left = 15_s;
+  query.now = fleet.now;
+  CPPUNIT_ASSERT(!entry.choose(query)->kept_for_streams);
+  CPPUNIT_ASSERT(fleet.choose_stream(entry, 2).kept_for_streams);
+}
+
 }  // namespace
 }  // namespace hawthornnotch::dispatch
