Keep no servers for streams in large fleets, and place streams by their parts where none are kept

One fault is certain: while no server was kept, a pause-sensitive stream was ranked among the kept ones, so that it had no first servers at all and went anywhere (test red, then green).

--- a/src/dispatch/candidate.h
+++ b/src/dispatch/candidate.h
@@ -30,12 +30,11 @@
   std::uint32_t rank = 0;
 };
 
-// Sets the ranks by the rendezvous order of a prefix, counted over servers that are not avoided and
-// are kept for requests like this one: all entry VMs find the same first servers without talking
-// about them.
-// \param pause_sensitive whether the request is a stream whose caller bears only short pauses.
+// Sets the ranks by the rendezvous order of a prefix, counted over servers that are not avoided:
+// all entry VMs find the same first servers without talking about them. \param kept_for_streams
+// whether the servers that are kept for streams are counted, or all others.
 void rank_by_rendezvous(std::span<candidate> candidates, std::uint64_t prefix,
-                        bool pause_sensitive);
+                        bool kept_for_streams);
 
 // \pre the candidates are ranked
 // \returns the servers that most probably hold the prefix: the first two of the order.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -215,9 +215,10 @@
   load.streams.add(static_cast<double>(streams), 1.0, query.now);
   load.waiting_tokens.add(mean_waiting, 1.0, query.now);
   const double waiting_ms = load.waiting_tokens.value() / tokens_per_ms_;
-  internal::keep_for_streams(candidates, {load.streams.value(), waiting_ms});
+  const std::size_t kept =
+      internal::keep_for_streams(candidates, {load.streams.value(), waiting_ms, query.entry_vms});
   internal::rank_by_rendezvous(candidates, shared_prefix(query.prefixes).hash,
-                               query.pause_sensitive);
+                               query.pause_sensitive && kept > 0);
 }
 
 bool dispatcher::avoided(const servers::server_entry& server, const server_state& state,
--- a/src/dispatch/stream_reserve.cpp
+++ b/src/dispatch/stream_reserve.cpp
@@ -17,6 +17,8 @@
 /// From the first time of waiting prompts on fewer servers are kept, from the second on none.
 constexpr double shrinking_from_ms = 300.0;
 constexpr double none_from_ms = 800.0;
+/// With more entry VMs each hears of the others' streams too late to keep servers that hold them.
+constexpr std::size_t most_entry_vms = 32;
 /// Most servers that are kept, as a part of all.
 constexpr double most_kept = 0.3;
 /// With fewer servers none can be spared.
@@ -30,7 +32,8 @@
 }  // namespace
 
 std::size_t reserve_size(const fleet_load& load, std::size_t servers, double slots) {
-  if (servers < least_servers || load.streams <= 0 || slots <= 0) {
+  const bool possible = servers >= least_servers && load.entry_vms <= most_entry_vms;
+  if (!possible || load.streams <= 0 || slots <= 0) {
     return 0;
   }
   const double needed = std::ceil(load.streams / std::min(slots * usual_fill, usual_streams));
@@ -38,7 +41,7 @@
   return static_cast<std::size_t>(std::min(needed, most) * spared_part(load.waiting_ms));
 }
 
-void keep_for_streams(std::span<candidate> candidates, const fleet_load& load) {
+std::size_t keep_for_streams(std::span<candidate> candidates, const fleet_load& load) {
   std::vector<candidate*> fit;
   fit.reserve(candidates.size());
   double slots = 0;
@@ -58,6 +61,7 @@
   for (std::size_t index = 0; index < kept; ++index) {
     fit[index]->kept_for_streams = true;
   }
+  return kept;
 }
 
 }  // namespace hawthornnotch::dispatch::internal
--- a/src/dispatch/stream_reserve.h
+++ b/src/dispatch/stream_reserve.h
@@ -15,6 +15,8 @@
   double streams = 0;
   // Time that the prompts waiting at a server take it, in the mean, in ms.
   double waiting_ms = 0;
+  // Live entry VMs.
+  std::size_t entry_vms = 1;
 };
 
 // Marks the candidates that are kept for pause-sensitive streams.
@@ -24,7 +26,8 @@
 // long prompts and many such streams at once.  All entry VMs keep the same servers: the first ones
 // that are neither avoided nor slow, in an order by a hash of their ids; how many follows from the
 // load of the fleet.  None are kept where prompts wait long: then all servers are needed for them.
-void keep_for_streams(std::span<candidate> candidates, const fleet_load& load);
+// \returns how many are kept.
+std::size_t keep_for_streams(std::span<candidate> candidates, const fleet_load& load);
 
 // \returns how many of `servers` servers are kept.
 // \param slots requests that one of them runs side by side.
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -59,7 +59,7 @@
   }
 
   // A short prompt whose caller bears only short pauses.
-  placement choose_stream(dispatcher& at, std::uint64_t request) const {
+  placement choose_stream(dispatcher& at, std::uint64_t request, std::size_t entry_vms = 2) const {
     const auto prefixes = short_prompt(request);
     placement_query query;
     query.service = "forecast";
@@ -67,6 +67,7 @@
     query.target_latency = 1_s;
     query.target_gap = 250_ms;
     query.pause_sensitive = true;
+    query.entry_vms = entry_vms;
     query.time_left = 15_s;
     query.now = now;
     const auto chosen = at.choose(query);
@@ -466,6 +467,21 @@
   CPPUNIT_ASSERT(spilled);
 }
 
+// Hundreds of entry VMs hear of each other's streams too late: the servers that hold a shared part
+// take its streams, as without a reserve.
+TEST_THAT(dispatcher, goes_by_shared_parts_where_no_server_is_kept_for_streams) {
+  fleet_case fleet(40);
+  dispatcher entry(fleet.list, "zg-istok", 1);
+  (void)fleet.choose(entry, prompt_about(1, 1));
+  fleet.tell_work(entry, 2, 2'000);
+  constexpr std::size_t many = 300;
+  for (std::uint64_t request = 1; request <= 50; ++request) {
+    const placement chosen = fleet.choose_stream(entry, request, many);
+    CPPUNIT_ASSERT(!chosen.kept_for_streams);
+    CPPUNIT_ASSERT_EQUAL(0U, chosen.rank);
+  }
+}
+
 TEST_THAT(dispatcher, counts_the_streams_of_each_service_by_itself) {
   fleet_case fleet(40);
   servers::list_reading reading = *fleet.list.newest();
