Never confirm a configuration that could not be read; one rule of who reads alone; no copies to count VMs

Found in the last read of the change: - A configuration in the store that could not be read was logged, and the version before it then confirmed to all others as the newest. The followers' timers are one class.

The test with two services, not seen red before, fails when the load of all services is counted as one.

--- a/include/hawthornnotch/relay/reading_schedule.h
+++ b/include/hawthornnotch/relay/reading_schedule.h
@@ -64,7 +64,10 @@
 ///
 /// Example:
 ///     reading_schedule schedule(settings, clock.now());
-///     if (schedule.due(age, last_was_own, position, clock.now())) { schedule.began(); read(); }
+///     if (schedule.due(age, newest_id, position, clock.now())) {
+///       schedule.began(newest_id);
+///       read();
+///     }
 /// Ownership: a value.  Thread safety: none.
 class reading_schedule {
  public:
@@ -73,30 +76,44 @@
       : settings_(settings), started_at_(started_at) {}
 
   /// \param age of what is known; none where nothing is.
-  /// \param by_own_reading whether it was this VM that read it.
-  [[nodiscard]] bool due(std::optional<duration> age, bool by_own_reading,
+  /// \param newest_id names the newest reading known, by whatever VM; 0 for none.
+  [[nodiscard]] bool due(std::optional<duration> age, std::uint64_t newest_id,
                          const store_position& position, time_point now) const;
-  void began() { running_ = true; }
-  void succeeded();
+  /// \param newest_id as for `due`.
+  void began(std::uint64_t newest_id);
+  /// \param newest_id as for `due`, when the call has ended and before its own result is taken in.
+  /// \param own_id names the reading by this call.
+  /// \param changed whether the call brought something new.
+  void succeeded(std::uint64_t newest_id, std::uint64_t own_id, bool changed);
   /// \param drawn 0 to 1, drawn anew each time.
   /// \returns how long no further call is due.
   duration failed_now(const store_position& position, double drawn, time_point now);
-  /// \param goes_on true if the call before was this VM's too and brought no change.  Otherwise all
-  /// others have to hear soon that they are up to date.
+  /// The first call of a VM that takes over, and the one after a change, are short: all others have
+  /// to hear soon that they are up to date.
+  /// \param newest_id as for `due`.
   /// \returns how long a call that waits for changes may take.
-  [[nodiscard]] duration watch_time(bool goes_on) const;
+  [[nodiscard]] duration watch_time(std::uint64_t newest_id) const;
   /// \returns the age from which on a VM at this place reads by itself.
   [[nodiscard]] duration longest_age(const store_position& position) const;
 
  private:
   [[nodiscard]] bool settled(time_point now) const;
   [[nodiscard]] duration first_wait() const;
+  /// \returns whether no other VM has read since this one did.
+  [[nodiscard]] bool reads_alone(std::uint64_t newest_id) const;
+  [[nodiscard]] duration longest_age_of_others() const;
 
   reading_settings settings_;
   time_point started_at_;
   time_point not_before_;
   store_backoff backoff_;
   bool running_ = false;
+  /// `newest_id` when the call that runs began.
+  std::uint64_t newest_at_call_ = 0;
+  /// The reading by the last call; 0 where another VM read meanwhile.
+  std::uint64_t last_alone_ = 0;
+  /// Whether the last call brought something new.
+  bool changed_ = false;
 };
 
 }  // namespace hawthornnotch::relay
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -106,8 +106,9 @@
       tokens_per_ms_(assumed_tokens_per_ms) {}
 
 server_state& dispatcher::state_of(const servers::server_entry& server) {
-  server_state& state = states_[server.id];
-  if (state.born_ms != server.born_ms) {
+  const auto [found, is_new] = states_.try_emplace(server.id);
+  server_state& state = found->second;
+  if (is_new || state.born_ms != server.born_ms) {
     state = server_state{};
     state.born_ms = server.born_ms;
     state.stream_order = stable_hash(server.id);
@@ -211,7 +212,11 @@
     waiting += each.state->all_prefill_tokens();
   }
   const double mean_waiting = static_cast<double>(waiting) / static_cast<double>(candidates.size());
-  service_load& load = loads_[std::string(query.service)];
+  auto found = loads_.find(query.service);
+  if (found == loads_.end()) {
+    found = loads_.try_emplace(std::string(query.service)).first;
+  }
+  service_load& load = found->second;
   load.streams.add(static_cast<double>(streams), 1.0, query.now);
   load.waiting_tokens.add(mean_waiting, 1.0, query.now);
   const double waiting_ms = load.waiting_tokens.value() / tokens_per_ms_;
@@ -374,64 +379,6 @@
   }
 }
 
-void dispatcher::apply_peer_work(
-    const std::map<std::string, relay::server_work, std::less<>>& work) {
-  for (auto& [id, state] : states_) {
-    const auto found = work.find(id);
-    state.peer_running = found == work.end() ? 0 : found->second.running;
-    state.peer_prefill_tokens = found == work.end() ? 0 : found->second.prefill_tokens;
-    state.peer_sensitive = found == work.end() ? 0 : found->second.sensitive;
-  }
-}
-
-void dispatcher::apply_peer_paces(std::span<const relay::server_pace> paces, time_point now) {
-  for (const relay::server_pace& pace : paces) {
-    const servers::server_entry* server = list_.find(pace.server);
-    if (server == nullptr || server->born_ms != pace.born_ms) {
-      continue;
-    }
-    state_of(*server).pace.heard(pace.usual_gap_ms, pace.long_gap_ms, now);
-  }
-}
-
-std::vector<relay::server_pace> dispatcher::own_paces(std::size_t most, time_point now) {
-  std::vector<relay::server_pace> out;
-  auto each = states_.upper_bound(last_pace_);
-  for (std::size_t seen = 0; seen < states_.size() && out.size() < most; ++seen) {
-    if (each == states_.end()) {
-      each = states_.begin();
-    }
-    const server_state& state = each->second;
-    if (state.pace.fresh(now)) {
-      out.push_back(
-          {each->first, state.born_ms, state.pace.usual_ms(now), state.pace.long_ms(now)});
-    }
-    last_pace_ = each->first;
-    ++each;
-  }
-  return out;
-}
-
-void dispatcher::apply_absences(std::span<const relay::server_absence> absences, time_point now) {
-  for (const relay::server_absence& absence : absences) {
-    const servers::server_entry* server = list_.find(absence.server);
-    if (server != nullptr) {
-      state_of(*server).health.leave_for(absence.remaining, now);
-    }
-  }
-}
-
-std::vector<relay::server_absence> dispatcher::absences(time_point now) const {
-  std::vector<relay::server_absence> out;
-  for (const auto& [id, state] : states_) {
-    const duration remaining = state.health.gone_for(now);
-    if (remaining > duration{0}) {
-      out.push_back({id, remaining});
-    }
-  }
-  return out;
-}
-
 void dispatcher::forget_gone() {
   for (auto each = states_.begin(); each != states_.end();) {
     const bool gone = list_.find(each->first) == nullptr && each->second.running == 0;
@@ -439,16 +386,6 @@
   }
 }
 
-std::vector<relay::server_work> dispatcher::own_work() const {
-  std::vector<relay::server_work> out;
-  for (const auto& [id, state] : states_) {
-    if (state.running > 0) {
-      out.push_back({id, state.running, state.prefill_tokens, state.sensitive});
-    }
-  }
-  return out;
-}
-
 std::vector<server_summary> dispatcher::summary(time_point now) const {
   std::vector<server_summary> out;
   for (const auto& [id, state] : states_) {
--- a/src/dispatch/stream_reserve.cpp
+++ b/src/dispatch/stream_reserve.cpp
@@ -17,7 +17,7 @@
 /// From the first time of waiting prompts on fewer servers are kept, from the second on none.
 constexpr double shrinking_from_ms = 300.0;
 constexpr double none_from_ms = 800.0;
-/// With more entry VMs each hears of the others' streams too late to keep servers that hold them.
+/// With more entry VMs no server is kept: all must agree on the streams that run in the fleet.
 constexpr std::size_t most_entry_vms = 32;
 /// Most servers that are kept, as a part of all.
 constexpr double most_kept = 0.3;
@@ -42,18 +42,24 @@
 }
 
 std::size_t keep_for_streams(std::span<candidate> candidates, const fleet_load& load) {
+  double slots = 0;
+  for (const candidate& each : candidates) {
+    slots += each.server->slots;
+  }
+  const double mean_slots =
+      slots / static_cast<double>(std::max<std::size_t>(candidates.size(), 1));
+  const std::size_t wanted = reserve_size(load, candidates.size(), mean_slots);
+  if (wanted == 0) {
+    return 0;
+  }
   std::vector<candidate*> fit;
   fit.reserve(candidates.size());
-  double slots = 0;
   for (candidate& each : candidates) {
-    slots += each.server->slots;
     if (!each.avoided && !each.slow) {
       fit.push_back(&each);
     }
   }
-  const double mean_slots =
-      slots / static_cast<double>(std::max<std::size_t>(candidates.size(), 1));
-  const std::size_t kept = std::min(reserve_size(load, candidates.size(), mean_slots), fit.size());
+  const std::size_t kept = std::min(wanted, fit.size());
   std::partial_sort(fit.begin(), fit.begin() + static_cast<std::ptrdiff_t>(kept), fit.end(),
                     [](const candidate* a, const candidate* b) {
                       return a->state->stream_order < b->state->stream_order;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -1,7 +1,6 @@
 #include "store_follower.h"
 
 #include <algorithm>
-#include <chrono>
 #include <string>
 #include <utility>
 
@@ -18,8 +17,6 @@
 /// How often it is looked whether a call is due.
 constexpr duration tick_period{100};
 
-std::chrono::milliseconds to_chrono(duration span) { return std::chrono::milliseconds(span.ms); }
-
 std::string joined(const std::vector<std::string>& names) {
   std::string out;
   for (const std::string& name : names) {
@@ -61,22 +58,22 @@
   return "";
 }
 
-void knowledge::offer_config(std::string text, std::string_view source) {
+bool knowledge::offer_config(std::string text, std::string_view source) {
   auto decoded = shared_.wire.decode_config(text);
   if (!decoded) {
     log_event(level::warning, "config_unreadable", {{"source", source}, {"bytes", text.size()}});
-    return;
+    return false;
   }
   const std::int64_t before = shared_.config.version();
   const std::int64_t offered = decoded->version;
   const bool taken = shared_.config.offer(routes::route_table::create(std::move(*decoded)));
-  if (!taken) {
-    return;
+  if (taken) {
+    shared_.config_text = std::move(text);
+    log_event(level::info, "config_applied",
+              {{"version", offered}, {"before", before}, {"source", source}});
+    changed_();
   }
-  shared_.config_text = std::move(text);
-  log_event(level::info, "config_applied",
-            {{"version", offered}, {"before", before}, {"source", source}});
-  changed_();
+  return true;
 }
 
 void knowledge::confirm_config(std::int64_t version, const relay::confirmation& seen) {
@@ -125,87 +122,83 @@
     : shared_(shared),
       known_(known),
       store_(store),
-      timer_(executor),
+      ticker_(executor, tick_period, [this] { call_if_due(); }),
       schedule_(
           reading_settings_of(relay::reading_kind::watched, shared.settings.config_bound, shared),
           shared.time.now()) {}
 
-void config_follower::tick() {
+void config_follower::call_if_due() {
   const time_point now = shared_.time.now();
   const relay::confirmation& seen = shared_.config_seen;
   // True also where the store was seen to hold no configuration yet.
   const bool known = seen.revision != 0;
   const auto age = known ? std::optional(now - seen.at) : std::nullopt;
-  const bool own = known && seen.id == last_alone_;
-  if (schedule_.due(age, own, shared_.peers.position(now), now)) {
-    schedule_.began();
-    known && !history_gone_ ? await_changes() : read();
+  if (!schedule_.due(age, seen.id, shared_.peers.position(now), now)) {
+    return;
+  }
+  schedule_.began(seen.id);
+  if (known && !read_whole_) {
+    await_changes();
+  } else {
+    read();
   }
-  timer_.expires_after(to_chrono(tick_period));
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      tick();
-    }
-  });
 }
 
 void config_follower::read() {
   const time_point asked_at = shared_.time.now();
-  const std::uint64_t before = shared_.config_seen.id;
-  store_.read(std::string(shared_.wire.config_key()), [this, asked_at, before](auto answer) {
+  store_.read(std::string(shared_.wire.config_key()), [this, asked_at](auto answer) {
     if (!answer) {
       failed_now(answer.last_reason().kind);
       return;
     }
-    history_gone_ = false;
-    take(answer->found);
-    confirm(answer->revision, asked_at, before);
+    take({answer->revision, asked_at, std::move(answer->found)});
   });
 }
 
 void config_follower::await_changes() {
   const time_point asked_at = shared_.time.now();
-  const std::uint64_t before = shared_.config_seen.id;
-  const duration wait = schedule_.watch_time(before == last_alone_ && !changed_);
-  const auto done = [this, asked_at, wait, before](auto changes) {
+  const relay::confirmation& seen = shared_.config_seen;
+  const duration wait = schedule_.watch_time(seen.id);
+  const auto done = [this, asked_at, wait](auto changes) {
     if (!changes) {
       failed_now(changes.last_reason().kind);
       return;
     }
-    changed_ = !changes->events.empty();
-    for (const platform::watch_event& event : changes->events) {
+    // An answer without a change left the store when the wait was over.  It may have been read much
+    // later, by a process that was paused meanwhile.
+    const time_point sent_at = changes->events.empty() ? asked_at + wait : asked_at;
+    finding found{changes->revision, std::min(sent_at, shared_.time.now()), {}};
+    for (platform::watch_event& event : changes->events) {
       if (!event.erased) {
-        take({event.now});
+        found.items.push_back(std::move(event.now));
       }
     }
-    // An answer without a change left the store when the wait was over.  It may have been read much
-    // later, by a process that was paused meanwhile.
-    const time_point sent_at = changed_ ? asked_at : asked_at + wait;
-    confirm(changes->revision, std::min(sent_at, shared_.time.now()), before);
+    take(found);
   };
-  store_.await_changes(std::string(shared_.wire.config_prefix()), shared_.config_seen.revision,
-                       wait, done);
+  store_.await_changes(std::string(shared_.wire.config_prefix()), seen.revision, wait, done);
 }
 
-void config_follower::take(const std::vector<platform::key_value>& found) {
-  for (const platform::key_value& each : found) {
+void config_follower::take(const finding& found) {
+  bool readable = found.revision != 0;
+  for (const platform::key_value& each : found.items) {
     if (each.key == shared_.wire.config_key()) {
-      known_.offer_config(each.value, "store");
+      readable = known_.offer_config(each.value, "store") && readable;
     }
   }
-}
-
-void config_follower::confirm(std::int64_t revision, time_point at, std::uint64_t before) {
-  schedule_.succeeded();
+  if (!readable) {
+    read_whole_ = true;
+    failed_now(platform::failure_kind::malformed_answer);
+    return;
+  }
+  read_whole_ = false;
   store_config_.succeeded();
-  const bool others_watch = shared_.config_seen.id != before;
   const std::uint64_t id = shared_.random.engine()();
-  known_.confirm_config(shared_.config.version(), {id, revision, at});
-  last_alone_ = others_watch ? 0 : id;
+  schedule_.succeeded(shared_.config_seen.id, id, !found.items.empty());
+  known_.confirm_config(shared_.config.version(), {id, found.revision, found.at});
 }
 
 void config_follower::failed_now(platform::failure_kind why) {
-  history_gone_ = history_gone_ || why == platform::failure_kind::history_gone;
+  read_whole_ = read_whole_ || why == platform::failure_kind::history_gone;
   store_config_.failed_now(to_string(why));
   const time_point now = shared_.time.now();
   schedule_.failed_now(shared_.peers.position(now), shared_.random.unit(), now);
@@ -216,23 +209,23 @@
     : shared_(shared),
       known_(known),
       store_(store),
-      timer_(executor),
+      ticker_(executor, tick_period, [this] { call_if_due(); }),
       schedule_(
           reading_settings_of(relay::reading_kind::polled, shared.settings.leave_notice, shared),
           shared.time.now()) {}
 
-void list_follower::tick() {
+std::uint64_t list_follower::newest_id() const {
+  const auto& newest = shared_.servers.newest();
+  return newest ? newest->id : 0;
+}
+
+void list_follower::call_if_due() {
   const time_point now = shared_.time.now();
-  if (schedule_.due(shared_.servers.age(now), false, shared_.peers.position(now), now)) {
-    schedule_.began();
+  const auto age = shared_.servers.age(now);
+  if (schedule_.due(age, newest_id(), shared_.peers.position(now), now)) {
+    schedule_.began(newest_id());
     read();
   }
-  timer_.expires_after(to_chrono(tick_period));
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      tick();
-    }
-  });
 }
 
 void list_follower::read() {
@@ -244,7 +237,6 @@
       schedule_.failed_now(shared_.peers.position(now), shared_.random.unit(), now);
       return;
     }
-    schedule_.succeeded();
     store_list_.succeeded();
     take(*answer, asked_at);
   });
@@ -263,6 +255,7 @@
       log_event(level::debug, "server_entry_unreadable", {{"key", each.key}});
     }
   }
+  schedule_.succeeded(newest_id(), reading.id, false);
   known_.offer_list(std::move(reading), "store");
 }
 
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -2,7 +2,6 @@
 #ifndef HAWTHORNNOTCH_SRC_GATEWAY_STORE_FOLLOWER_H_
 #define HAWTHORNNOTCH_SRC_GATEWAY_STORE_FOLLOWER_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <string_view>
 
@@ -10,6 +9,7 @@
 #include "hawthornnotch/relay/confirmation.h"
 #include "hawthornnotch/relay/reading_schedule.h"
 #include "state.h"
+#include "ticker.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -20,7 +20,8 @@
   knowledge(state& shared, std::function<void()> changed)
       : shared_(shared), changed_(std::move(changed)) {}
   // \param source for the log: where the text comes from.
-  void offer_config(std::string text, std::string_view source);
+  // \returns false if the text is no configuration that can be read.
+  bool offer_config(std::string text, std::string_view source);
   // Somebody has seen that this version was the newest.
   void confirm_config(std::int64_t version, const relay::confirmation& seen);
   void offer_list(servers::list_reading reading, std::string_view source);
@@ -51,30 +52,34 @@
  public:
   config_follower(state& shared, knowledge& known, platform::polled_store& store,
                   const boost::asio::any_io_executor& executor);
-  void start() { tick(); }
+  void start() { ticker_.start(); }
 
  private:
-  void tick();
+  void call_if_due();
   // Reads the whole configuration.
   void read();
   // Asks for what came after the last confirmation.
   void await_changes();
-  void take(const std::vector<platform::key_value>& found);
-  // \param before the newest confirmation when the call began.
-  void confirm(std::int64_t revision, time_point at, std::uint64_t before);
+  // What a call found: the configuration, or what became of it.
+  struct finding {
+    std::int64_t revision = 0;
+    // When the store was known to hold it.
+    time_point at;
+    std::vector<platform::key_value> items;
+  };
+  // Takes over a configuration, and confirms what is known now as the newest, unless the newest
+  // cannot be read.
+  void take(const finding& found);
   void failed_now(platform::failure_kind why);
 
   state& shared_;
   knowledge& known_;
   platform::polled_store& store_;
-  boost::asio::steady_timer timer_;
+  ticker ticker_;
   relay::reading_schedule schedule_;
-  // The confirmation by this process's last call; 0 where another process called meanwhile.
-  std::uint64_t last_alone_ = 0;
-  // The history behind the last confirmation is gone: the next call reads the whole.
-  bool history_gone_ = false;
-  // Whether the last call brought a change.
-  bool changed_ = false;
+  // The next call reads the whole: the history behind the last confirmation is gone, or the newest
+  // configuration could not be read.
+  bool read_whole_ = false;
   dependency store_config_{"store_config"};
 };
 
@@ -84,17 +89,19 @@
  public:
   list_follower(state& shared, knowledge& known, platform::polled_store& store,
                 const boost::asio::any_io_executor& executor);
-  void start() { tick(); }
+  void start() { ticker_.start(); }
 
  private:
-  void tick();
+  void call_if_due();
   void read();
   void take(const platform::read_outcome& answer, time_point asked_at);
+  // \returns the id of the newest reading known; 0 for none.
+  [[nodiscard]] std::uint64_t newest_id() const;
 
   state& shared_;
   knowledge& known_;
   platform::polled_store& store_;
-  boost::asio::steady_timer timer_;
+  ticker ticker_;
   relay::reading_schedule schedule_;
   dependency store_list_{"store_list"};
 };
--- a/src/gateway/store_registration.cpp
+++ b/src/gateway/store_registration.cpp
@@ -126,7 +126,10 @@
   met_at_ = now;
   store_.read_prefix(std::string(entry_prefix), [this](auto answer) {
     if (answer) {
+      store_entries_.succeeded();
       take_entries(answer->found);
+    } else {
+      store_entries_.failed_now(to_string(answer.last_reason().kind));
     }
     next_in(look_period, &store_registration::find_peers);
   });
--- a/src/gateway/store_registration.h
+++ b/src/gateway/store_registration.h
@@ -43,6 +43,7 @@
   time_point met_at_;
   std::int64_t lease_ = 0;
   dependency store_lease_{"store_lease"};
+  dependency store_entries_{"store_entries"};
 };
 
 }  // namespace hawthornnotch::gateway::internal
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -140,7 +140,11 @@
   return out;
 }
 
-std::size_t peer_set::live_count(time_point now) const { return live_addresses(now).size() + 1; }
+std::size_t peer_set::live_count(time_point now) const {
+  const auto living = std::count_if(peers_.begin(), peers_.end(),
+                                    [&](const auto& each) { return alive(each.second, now); });
+  return static_cast<std::size_t>(living) + 1;
+}
 
 peer_changes peer_set::take_changes(time_point now) {
   peer_changes changes;
--- a/src/relay/reading_schedule.cpp
+++ b/src/relay/reading_schedule.cpp
@@ -72,15 +72,23 @@
   return settings_.others_ask_here ? duration{0} : ask_others_first + spread;
 }
 
+duration reading_schedule::longest_age_of_others() const {
+  return part_of(settings_.bound, last_part + last_spread * settings_.spread);
+}
+
 duration reading_schedule::longest_age(const store_position& position) const {
   if (!reads_for_others(position)) {
-    return part_of(settings_.bound, last_part + last_spread * settings_.spread);
+    return longest_age_of_others();
   }
   const auto place = static_cast<double>(place_of(position));
   return part_of(settings_.bound, first_part + next_part * place);
 }
 
-bool reading_schedule::due(std::optional<duration> age, bool by_own_reading,
+bool reading_schedule::reads_alone(std::uint64_t newest_id) const {
+  return newest_id != 0 && newest_id == last_alone_;
+}
+
+bool reading_schedule::due(std::optional<duration> age, std::uint64_t newest_id,
                            const store_position& position, time_point now) const {
   if (running_ || now < not_before_) {
     return false;
@@ -89,17 +97,24 @@
     return now - started_at_ >= first_wait();
   }
   if (!settled(now)) {
-    return *age >= part_of(settings_.bound, last_part + last_spread * settings_.spread);
+    return *age >= longest_age_of_others();
   }
-  const bool watches = position.in_fleet == 0 || by_own_reading;
+  const bool watches = position.in_fleet == 0 || reads_alone(newest_id);
   if (settings_.kind == reading_kind::watched && watches) {
     return true;
   }
   return *age >= longest_age(position);
 }
 
-void reading_schedule::succeeded() {
+void reading_schedule::began(std::uint64_t newest_id) {
+  running_ = true;
+  newest_at_call_ = newest_id;
+}
+
+void reading_schedule::succeeded(std::uint64_t newest_id, std::uint64_t own_id, bool changed) {
   running_ = false;
+  last_alone_ = newest_id == newest_at_call_ ? own_id : 0;
+  changed_ = changed;
   backoff_.succeeded();
 }
 
@@ -111,7 +126,8 @@
   return pause;
 }
 
-duration reading_schedule::watch_time(bool goes_on) const {
+duration reading_schedule::watch_time(std::uint64_t newest_id) const {
+  const bool goes_on = reads_alone(newest_id) && !changed_;
   return part_of(settings_.bound, goes_on ? first_part : short_watch_part);
 }
 
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -46,30 +46,39 @@
 
   placement choose(dispatcher& at, const std::vector<prompt_prefix>& prefixes,
                    std::vector<std::string> tried = {}) const {
-    placement_query query;
-    query.service = "forecast";
-    query.prefixes = prefixes;
-    query.target_latency = 2_s;
-    query.target_gap = 600_ms;
+    placement_query query = query_for(prefixes);
     query.tried = tried;
-    query.now = now;
-    const auto chosen = at.choose(query);
-    CPPUNIT_ASSERT(chosen.has_value());
-    return *chosen;
+    return must_choose(at, query);
   }
 
   // A short prompt whose caller bears only short pauses.
   placement choose_stream(dispatcher& at, std::uint64_t request, std::size_t entry_vms = 2) const {
     const auto prefixes = short_prompt(request);
+    return must_choose(at, stream_query(prefixes, entry_vms));
+  }
+
+  placement_query query_for(const std::vector<prompt_prefix>& prefixes) const {
     placement_query query;
     query.service = "forecast";
     query.prefixes = prefixes;
+    query.target_latency = 2_s;
+    query.target_gap = 600_ms;
+    query.now = now;
+    return query;
+  }
+
+  placement_query stream_query(const std::vector<prompt_prefix>& prefixes,
+                               std::size_t entry_vms) const {
+    placement_query query = query_for(prefixes);
     query.target_latency = 1_s;
     query.target_gap = 250_ms;
     query.pause_sensitive = true;
     query.entry_vms = entry_vms;
     query.time_left = 15_s;
-    query.now = now;
+    return query;
+  }
+
+  static placement must_choose(dispatcher& at, const placement_query& query) {
     const auto chosen = at.choose(query);
     CPPUNIT_ASSERT(chosen.has_value());
     return *chosen;
@@ -467,8 +476,8 @@
   CPPUNIT_ASSERT(spilled);
 }
 
-// Hundreds of entry VMs hear of each other's streams too late: the servers that hold a shared part
-// take its streams, as without a reserve.
+// Hundreds of entry VMs keep no servers: those that hold a shared part take its streams, as without
+// a reserve.
 TEST_THAT(dispatcher, goes_by_shared_parts_where_no_server_is_kept_for_streams) {
   fleet_case fleet(40);
   dispatcher entry(fleet.list, "zg-istok", 1);
@@ -497,14 +506,9 @@
   (void)fleet.choose(entry, prompt_about(1, 1));
   fleet.tell_work(entry, 2, 2'000);
   (void)fleet.choose_stream(entry, 1);
-  placement_query query;
-  query.service = "other";
   const auto prefixes = fleet_case::short_prompt(1);
-  query.prefixes = prefixes;
-  query.target_latency = 1_s;
-  query.pause_sensitive = true;
-  query.time_left = 15_s;
-  query.now = fleet.now;
+  placement_query query = fleet.stream_query(prefixes, 2);
+  query.service = "other";
   CPPUNIT_ASSERT(!entry.choose(query)->kept_for_streams);
   CPPUNIT_ASSERT(fleet.choose_stream(entry, 2).kept_for_streams);
 }
--- a/tests/gateway/world.cpp
+++ b/tests/gateway/world.cpp
@@ -88,9 +88,10 @@
   });
 }
 
-void fake_store::put(const std::string& key, const std::string& value) {
+std::int64_t fake_store::put(const std::string& key, const std::string& value) {
   const std::lock_guard lock(mutex_);
   items_[key] = {value, ++revision_};
+  return revision_;
 }
 
 void fake_store::erase(const std::string& key) {
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -55,7 +55,8 @@
 class fake_store {
  public:
   explicit fake_store(loopback& around);
-  void put(const std::string& key, const std::string& value);
+  // \returns the revision of the change.
+  std::int64_t put(const std::string& key, const std::string& value);
   void erase(const std::string& key);
   void set_away(bool away);
   [[nodiscard]] endpoint address() const { return {"127.0.0.1", server_->port()}; }
--- a/tests/relay/fleet_model.cpp
+++ b/tests/relay/fleet_model.cpp
@@ -113,8 +113,7 @@
   model_vm& caller = vms_[vm];
   const bool known = caller.seen.revision != 0;
   const auto age = known ? std::optional(now_ - caller.seen.at) : std::nullopt;
-  const bool own = known && caller.seen.id == caller.last_alone;
-  if (!caller.schedule.due(age, own, caller.peers.position(now_), now_)) {
+  if (!caller.schedule.due(age, caller.seen.id, caller.peers.position(now_), now_)) {
     return;
   }
   ++calls_;
@@ -123,9 +122,9 @@
     return;
   }
   const bool waits = known && what_.kind == reading_kind::watched;
-  caller.schedule.began();
-  caller.seen_at_call = caller.seen.id;
-  caller.answered_at = now_ + (waits ? caller.schedule.watch_time(own) : call_time);
+  caller.schedule.began(caller.seen.id);
+  const duration longest = caller.schedule.watch_time(caller.seen.id);
+  caller.answered_at = now_ + (waits ? longest : call_time);
 }
 
 void fleet_model::end_call(std::size_t vm) {
@@ -138,11 +137,9 @@
     caller.schedule.failed_now(caller.peers.position(now_), caller.random.unit(), now_);
     return;
   }
-  const bool others_watch = caller.seen.id != caller.seen_at_call;
   const confirmation seen{caller.random.engine()(), revision_, now_};
-  caller.schedule.succeeded();
+  caller.schedule.succeeded(caller.seen.id, seen.id, false);
   take_newer(caller.seen, seen);
-  caller.last_alone = others_watch ? 0 : seen.id;
 }
 
 std::optional<duration> fleet_model::greatest_age() const {
--- a/tests/relay/fleet_model.h
+++ b/tests/relay/fleet_model.h
@@ -24,11 +24,9 @@
   reading_schedule schedule;
   random_source random;
   confirmation seen;
-  std::uint64_t last_alone = 0;
   bool up = true;
   // A call that waits: when it is answered.
   std::optional<time_point> answered_at;
-  std::uint64_t seen_at_call = 0;
 };
 
 // Exchanges go both ways at once and take no time; a call to the store takes 4 ms, or the time for
