--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -73,8 +73,10 @@
 enum class placement_failure : std::uint8_t {
   /// The service has no server that takes work.
   no_server,
-  /// All servers were tried, or failed lately.
+  /// All servers were tried.
   none_left,
+  /// All servers that could be tried want nothing for now.
+  all_paused,
 };
 
 /// One sending of a request, from `sent` to `ended`.
@@ -117,6 +119,8 @@
   std::uint64_t prefill_tokens = 0;
   double usual_gap_ms = 0;
   double failure_share = 0;
+  /// How much longer the server wants nothing; 0 where it takes work.
+  duration paused_for;
 };
 
 /// Chooses the server at which the least of a request's value is expected to be lost, by a late or
@@ -144,6 +148,15 @@
   /// Events of the answer arrived; for a whole answer, call once with 1.
   void events(sending& what, std::uint32_t count, time_point now);
   void ended(const sending& what, send_end end, time_point now);
+  /// The server wants nothing more from this VM for that time.
+  void pause(const sending& what, duration time, time_point now);
+  /// \returns whether a server that was chosen a moment ago still takes work: it neither leaves nor
+  /// wants nothing for now.
+  [[nodiscard]] bool takes_work(const servers::server_entry& server, time_point now) const;
+  /// \returns how long it takes until the first paused server of a service takes work again; none
+  /// where none is paused.
+  [[nodiscard]] std::optional<duration> first_end_of_pause(std::string_view service,
+                                                           time_point now) const;
   /// Work of other entry VMs, which replaces what was known of it.
   void apply_peer_work(const std::map<std::string, relay::server_work, std::less<>>& work);
   /// What another entry VM has seen of servers' speed.
@@ -156,7 +169,7 @@
   /// \returns the servers that are passed over as gone, by own or others' sendings.
   [[nodiscard]] std::vector<relay::server_absence> absences(time_point now) const;
   /// Forgets servers that are gone; call after the list changed.
-  void forget_gone();
+  void forget_gone(time_point now);
   /// \returns own work by server, for peers.
   [[nodiscard]] std::vector<relay::server_work> own_work() const;
   [[nodiscard]] std::vector<server_summary> summary(time_point now) const;
@@ -170,7 +183,7 @@
   /// \returns whether the server is passed over while others can take the request.
   [[nodiscard]] bool avoided(const servers::server_entry& server, const server_state& state,
                              time_point now) const;
-  /// \returns the servers of the query's service, not ranked yet.
+  /// \returns the servers of the query's service that take work now, not ranked yet.
   std::vector<internal::candidate> candidates_for(const placement_query& query);
   void weigh_engine(const placement_query& query, const internal::candidate& at, double fleet_gap,
                     placement& out) const;
--- a/include/hawthornnotch/dispatch/server_state.h
+++ b/include/hawthornnotch/dispatch/server_state.h
@@ -23,6 +23,8 @@
   server_error,
   /// The server refused the request without running it.
   refused,
+  /// The same, and the server said for how long it wants nothing more: it is full, not failing.
+  told_to_pause,
   /// Another server answered at the address: the one that was meant has gone.
   wrong_server,
   /// No connection: nothing was sent.
@@ -112,6 +114,22 @@
   policy::decaying_mean peer_long_{peer_half_life, 0.0, no_weight};
 };
 
+/// The time for which a full server wants nothing more from this VM.
+///
+/// The load pattern it answers: more work than the servers have room for, where each further request
+/// only takes a server's time to refuse it.  It says nothing of the server's health.
+class server_pause {
+ public:
+  /// The server asks for this time from now on; of several the latest end holds.
+  void ask(duration time, time_point now) { until_ = std::max(until_, now + time); }
+  /// \returns how much longer the server wants nothing; 0 or less where it takes work.
+  [[nodiscard]] duration remaining(time_point now) const { return until_ - now; }
+  [[nodiscard]] bool lasts(time_point now) const { return now < until_; }
+
+ private:
+  time_point until_;
+};
+
 /// Requests, speed, health and cache of one start of a backend server.
 struct server_state {
   /// Start that the state belongs to.
@@ -132,6 +150,7 @@
   /// Time to the whole answer, for servers that are no engines, in ms.
   policy::decaying_mean answer_ms{duration{3'000}, 0.0, no_weight};
   server_health health;
+  server_pause pause;
   prefix_cache cache;
 
   [[nodiscard]] std::uint32_t all_running() const { return running + peer_running; }
--- a/include/hawthornnotch/gateway/protocol.h
+++ b/include/hawthornnotch/gateway/protocol.h
@@ -60,6 +60,10 @@
   bool not_run = false;
   /// True if another server than the one that was meant answered, which has not run it either.
   bool wrong_server = false;
+  /// True if the server says that it leaves.
+  bool leaving = false;
+  /// How long the server wants nothing more from this VM; none where it does not say.
+  std::optional<duration> pause;
   /// True if the body is not the server's own, e.g. encoded on the way.
   bool altered = false;
   /// The server's own count of its work, where it tells it.
--- a/include/hawthornnotch/net/http_client.h
+++ b/include/hawthornnotch/net/http_client.h
@@ -42,10 +42,13 @@
 /// Bounds of one exchange.
 struct exchange_limits {
   duration connect_timeout{1'000};
-  /// From the request's last byte to the answer's head.
+  /// From the request's last byte to the end of the answer's head.
   duration head_timeout{30'000};
   /// Between two reads of the body.
   duration read_timeout{30'000};
+  /// From the request's last byte to the answer's end, for an answer that is wanted whole; 0 for no
+  /// such bound.
+  duration whole_timeout{0};
   std::uint64_t body_bytes = 16 * 1024 * 1024;
   /// False opens a fresh connection, so that no stale one can swallow the request.
   bool reuse_connection = true;
--- a/include/hawthornnotch/platform/client.h
+++ b/include/hawthornnotch/platform/client.h
@@ -128,9 +128,14 @@
 
 using changes_callback = std::function<void(result<change_batch, platform_failure>)>;
 
+/// Receives the era of its history that the service names in an answer; 0 where it names none.
+using era_listener = std::function<void(std::int64_t era)>;
+
 /// A service whose changes are asked for call by call.
 class polled_store : public key_value_store {
  public:
+  /// \param listener called at each answer, a refusal too, before the callback of its call.
+  virtual void on_era(era_listener listener) = 0;
   /// Changes of all keys under `prefix` after `revision`, as soon as there is one.
   /// \param longest_wait how long the service waits for a change before it answers that there is
   /// none; also about how long a connection that went silent goes unnoticed.
--- a/include/hawthornnotch/relay/confirmation.h
+++ b/include/hawthornnotch/relay/confirmation.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/platform/store_version.h"
 
 namespace hawthornnotch::relay {
 
@@ -13,8 +14,8 @@
 struct confirmation {
   /// Drawn by the VM that called the store; the same in every copy that is passed on.
   std::uint64_t id = 0;
-  /// Revision of the store that was looked at; 0 for none.
-  std::int64_t revision = 0;
+  /// Point in the store's history that was looked at; none where the revision is 0.
+  platform::store_version version;
   /// When it was looked at, by this process's monotonic clock.
   time_point at;
 };
--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -64,12 +64,14 @@
   peer from;
   /// Version of the configuration that the sender has in force; 0 for none.
   std::int64_t config_version = 0;
-  /// The newest `confirmation` that this version is the newest: its id, revision and age.
+  /// The newest `confirmation` that this version is the newest: its id, point in the store's
+  /// history and age.
   std::uint64_t config_id = 0;
-  std::int64_t config_revision = 0;
+  platform::store_version config_seen;
   duration config_age;
-  /// Revision of the sender's newest reading of the server list; 0 for none.
-  std::int64_t list_revision = 0;
+  /// Point in the store's history of the sender's newest reading of the server list; none where the
+  /// revision is 0.
+  platform::store_version list_version;
   /// Its `list_reading::id`.
   std::uint64_t list_id = 0;
   /// Age of that reading when the message was sent.
@@ -80,6 +82,8 @@
   std::vector<server_pace> paces;
   /// Servers that the sender, or those that told it, found gone.
   std::vector<server_absence> absences;
+  /// Servers that told the sender, or those that told it, that they leave.
+  std::vector<servers::departure> departures;
   /// Some of the others, as the sender last heard of them.
   std::vector<peer> peers;
   /// The configuration as the platform holds it, where the receiver was seen to lack it.
--- a/include/hawthornnotch/servers/server_list.h
+++ b/include/hawthornnotch/servers/server_list.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/platform/store_version.h"
+#include "hawthornnotch/servers/departures.h"
 #include "hawthornnotch/servers/server_entry.h"
 
 namespace hawthornnotch::servers {
@@ -19,8 +21,8 @@
 struct list_reading {
   /// Drawn by the process that read it; the same in every copy that is passed on.
   std::uint64_t id = 0;
-  /// Store revision at which it was read.
-  std::int64_t revision = 0;
+  /// Point in the store's history at which it was read.
+  platform::store_version version;
   /// When it was read, by this process's monotonic clock.
   time_point read_at;
   std::vector<server_entry> entries;
@@ -41,11 +43,13 @@
   [[nodiscard]] bool empty() const { return added.empty() && leaving.empty() && removed.empty(); }
 };
 
-/// Merges readings in order of their revision.
+/// Merges readings in the order of the store's history.
 ///
 /// A server that leaves never comes back under the same start.  An entry that is missing right
 /// after an outage is kept until the outage is over for `return_time`, because leases may have
-/// lapsed while the store was away; one that is missing at any other time is gone.
+/// lapsed while the store was away; one that is missing at any other time is gone.  The same holds
+/// where the store was restored from an older copy, which may also bring back entries of servers
+/// that had gone: those get no work until their entries have proved to be renewed.
 ///
 /// Example:
 ///     server_list list({});
@@ -65,6 +69,16 @@
   /// \returns whether that reading is the newest one known here.
   bool note_copy(std::uint64_t id, time_point read_at);
 
+  /// A start of a server leaves, by its own word, whatever the list says.
+  /// \param told_for how long other entry VMs are told.
+  /// \returns whether that is new.
+  bool note_leaving(std::string_view server, std::int64_t born_ms, duration told_for,
+                    time_point now);
+  /// \returns the servers of which other entry VMs are told that they leave.
+  [[nodiscard]] std::vector<departure> departures_to_tell(time_point now) const {
+    return departures_.to_tell(now);
+  }
+
   /// \returns the servers of a service that may get new work; valid until the next `apply`.
   [[nodiscard]] const std::vector<const server_entry*>& serving(std::string_view service) const;
   /// \returns the known entry, also of a server that leaves, or null.
@@ -76,9 +90,6 @@
   /// \returns how old the newest reading is; none before the first.
   [[nodiscard]] std::optional<duration> age(time_point now) const;
   [[nodiscard]] std::size_t size() const { return known_.size(); }
-  /// Rises with each change of the set that may get work.
-  [[nodiscard]] std::uint64_t version() const { return version_; }
-
  private:
   struct known_server {
     server_entry entry;
@@ -87,9 +98,9 @@
   };
 
   void note_gap(const list_reading& reading);
-  void merge_listed(const list_reading& reading, list_change& change);
-  void drop_missing(const list_reading& reading, list_change& change);
-  void rebuild_index();
+  void merge_listed(const list_reading& reading, time_point now, list_change& change);
+  void drop_missing(const list_reading& reading, time_point now, list_change& change);
+  void rebuild_index(time_point now);
 
   server_list_settings settings_;
   std::optional<list_reading> newest_;
@@ -98,7 +109,7 @@
   time_point keep_missing_until_;
   std::map<std::string, known_server, std::less<>> known_;
   std::map<std::string, std::vector<const server_entry*>, std::less<>> by_service_;
-  std::uint64_t version_ = 0;
+  departures departures_;
 };
 
 }  // namespace hawthornnotch::servers
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -151,7 +151,9 @@
   std::vector<internal::candidate> out;
   for (const servers::server_entry* server : list_.serving(query.service)) {
     const server_state& state = state_of(*server);
-    out.push_back({server, &state, avoided(*server, state, query.now)});
+    if (!state.pause.lasts(query.now)) {
+      out.push_back({server, &state, avoided(*server, state, query.now)});
+    }
   }
   return out;
 }
@@ -159,7 +161,8 @@
 result<placement, placement_failure> dispatcher::choose(const placement_query& query) {
   std::vector<internal::candidate> candidates = candidates_for(query);
   if (candidates.empty()) {
-    return failed{placement_failure::no_server};
+    const bool paused = !list_.serving(query.service).empty();
+    return failed{paused ? placement_failure::all_paused : placement_failure::no_server};
   }
   const bool is_engine = !query.prefixes.empty();
   double fleet_gap = 0;
@@ -379,10 +382,42 @@
   }
 }
 
-void dispatcher::forget_gone() {
+void dispatcher::pause(const sending& what, duration time, time_point now) {
+  server_state* state = state_of(what);
+  if (state != nullptr) {
+    state->pause.ask(time, now);
+  }
+}
+
+bool dispatcher::takes_work(const servers::server_entry& server, time_point now) const {
+  const servers::server_entry* listed = list_.find(server.id);
+  if (listed == nullptr || listed->leaving || listed->born_ms != server.born_ms) {
+    return false;
+  }
+  const auto state = states_.find(server.id);
+  return state == states_.end() || !state->second.pause.lasts(now);
+}
+
+std::optional<duration> dispatcher::first_end_of_pause(std::string_view service,
+                                                       time_point now) const {
+  std::optional<duration> first;
+  for (const servers::server_entry* server : list_.serving(service)) {
+    const auto state = states_.find(server->id);
+    if (state == states_.end() || !state->second.pause.lasts(now)) {
+      continue;
+    }
+    const duration remaining = state->second.pause.remaining(now);
+    first = first ? std::min(*first, remaining) : remaining;
+  }
+  return first;
+}
+
+// An entry may lapse and come back while the server lives: what it asked for still holds.
+void dispatcher::forget_gone(time_point now) {
   for (auto each = states_.begin(); each != states_.end();) {
-    const bool gone = list_.find(each->first) == nullptr && each->second.running == 0;
-    each = gone ? states_.erase(each) : std::next(each);
+    const server_state& state = each->second;
+    const bool gone = list_.find(each->first) == nullptr && state.running == 0;
+    each = gone && !state.pause.lasts(now) ? states_.erase(each) : std::next(each);
   }
 }
 
@@ -390,7 +425,8 @@
   std::vector<server_summary> out;
   for (const auto& [id, state] : states_) {
     out.push_back({id, state.all_running(), state.all_prefill_tokens(), state.pace.usual_ms(now),
-                   state.health.failure_share()});
+                   state.health.failure_share(),
+                   std::max(state.pause.remaining(now), duration{0})});
   }
   return out;
 }
--- a/src/dispatch/server_state.cpp
+++ b/src/dispatch/server_state.cpp
@@ -7,6 +7,7 @@
 void server_health::record(send_end end, time_point now) {
   switch (end) {
     case send_end::abandoned:
+    case send_end::told_to_pause:
       return;
     case send_end::completed:
       broken_in_row_ = 0;
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace hawthornnotch::gateway::internal {
@@ -8,6 +9,8 @@
 
 constexpr std::string_view id_field = "id:";
 constexpr std::string_view event_end = "\n\n";
+/// No sound server sends more without an event that the caller lacks.
+constexpr std::size_t most_fruitless_bytes = 1024 * 1024;
 
 // \returns the number in an event's `id` field, if it has one.
 std::optional<std::uint64_t> id_of(std::string_view event) {
@@ -29,12 +32,18 @@
 
 }  // namespace
 
+void event_splitter::restart() {
+  rest_.clear();
+  searched_ = 0;
+  fruitless_bytes_ = 0;
+}
+
 event_batch event_splitter::take(std::string_view bytes) {
   event_batch batch;
   rest_ += bytes;
   std::size_t begin = 0;
-  while (!batch.out_of_order) {
-    const std::size_t end = rest_.find(event_end, begin);
+  while (!batch.broken) {
+    const std::size_t end = rest_.find(event_end, std::max(begin, searched_));
     if (end == std::string::npos) {
       break;
     }
@@ -43,6 +52,10 @@
     begin = next;
   }
   rest_.erase(0, begin);
+  // The last byte may begin the end of an event.
+  searched_ = rest_.empty() ? 0 : rest_.size() - 1;
+  fruitless_bytes_ = batch.count > 0 ? 0 : fruitless_bytes_ + bytes.size();
+  batch.broken = batch.broken || fruitless_bytes_ > most_fruitless_bytes;
   return batch;
 }
 
@@ -53,7 +66,7 @@
       return;
     }
     if (last_id_ && *id != *last_id_ + 1) {
-      batch.out_of_order = true;
+      batch.broken = true;
       return;
     }
     last_id_ = id;
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -13,8 +13,9 @@
 struct event_batch {
   std::string text;
   std::uint32_t count = 0;
-  // True if an id is missing or comes out of order: the stream can't be trusted any more.
-  bool out_of_order = false;
+  // True if an id is missing or comes out of order, or if bytes go on and on without an event that
+  // the caller lacks: the stream can't be trusted any more.
+  bool broken = false;
 };
 
 // One answer to a caller, over all servers that it comes from.  An event that the caller has is
@@ -28,7 +29,7 @@
   explicit event_splitter(std::optional<std::uint64_t> after) : last_id_(after) {}
   event_batch take(std::string_view bytes);
   // The stream goes on at another server; half an event is forgotten.
-  void restart() { rest_.clear(); }
+  void restart();
   // \returns whether the bytes so far end with a whole event.
   [[nodiscard]] bool between_events() const { return rest_.empty(); }
   [[nodiscard]] std::optional<std::uint64_t> last_id() const { return last_id_; }
@@ -37,6 +38,10 @@
   void take_event(std::string_view event, event_batch& batch);
 
   std::string rest_;
+  // Bytes of `rest_` that are known not to end an event.
+  std::size_t searched_ = 0;
+  // Bytes since the last event that was handed on.
+  std::size_t fruitless_bytes_ = 0;
   std::optional<std::uint64_t> last_id_;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -68,7 +68,7 @@
   process(gateway_settings settings, const protocol& wire)
       : shared_(settings, wire, make_self(settings, system_clock()),
                 stable_hash(make_incarnation())),
-        known_(shared_, [this] { on_change(); }),
+        known_(shared_, {[this] { on_change(); }, [this] { on_restore(); }}),
         link_(shared_, known_, context_.get_executor()),
         stop_timer_(context_) {
     shared_.http = net::http_client::create(kept_connections());
@@ -80,6 +80,7 @@
     config_.emplace(shared_, known_, *store_, executor);
     list_.emplace(shared_, known_, *store_, executor);
     registration_.emplace(shared_, *store_, executor);
+    store_->on_era([this](std::int64_t era) { known_.hear_era(era, "store"); });
     const gateway_settings& settings = shared_.settings;
     const net::server_limits limits = caller_limits();
     auto listen_at = [&](const endpoint& at, net::server_limits with, net::request_handler handler,
@@ -169,7 +170,7 @@
   }
 
   asio::awaitable<void> serve_caller(net::http_request request, net::response_writer& writer) {
-    request_run run(shared_, writer, context_.get_executor());
+    request_run run(shared_, known_, writer, context_.get_executor());
     co_await run.run(std::move(request));
   }
 
@@ -196,6 +197,7 @@
     const time_point now = shared_.time.now();
     const auto age = shared_.servers.age(now);
     shown.gauge("hawthornnotch_config_version", {}, static_cast<double>(shared_.config.version()));
+    shown.gauge("hawthornnotch_store_era", {}, static_cast<double>(shared_.era.current()));
     shown.gauge("hawthornnotch_list_age_ms", {}, age ? static_cast<double>(age->ms) : -1.0);
     shown.gauge("hawthornnotch_live_entry_vms", {},
                 static_cast<double>(shared_.peers.live_count(now)));
@@ -205,6 +207,8 @@
     shown.gauge("hawthornnotch_dropped_log_lines", {},
                 static_cast<double>(observe::dropped_lines()));
     for (const dispatch::server_summary& server : shared_.dispatcher.summary(now)) {
+      shown.gauge("hawthornnotch_server_paused_ms", {{"server", server.id}},
+                  static_cast<double>(server.paused_for.ms));
       shown.gauge("hawthornnotch_server_running", {{"server", server.id}}, server.running);
       shown.gauge("hawthornnotch_server_prefill_tokens", {{"server", server.id}},
                   static_cast<double>(server.prefill_tokens));
@@ -220,6 +224,12 @@
     link_.tell_all();
   }
 
+  void on_restore() {
+    if (registration_) {
+      registration_->begin_again();
+    }
+  }
+
   void stop_now() {
     if (shared_.stopping) {
       return;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -20,6 +20,7 @@
 constexpr std::chrono::milliseconds exchange_period{150};
 constexpr duration connect_timeout{300};
 constexpr duration answer_timeout{600};
+constexpr duration whole_answer_timeout{3'000};
 constexpr duration unacknowledged_timeout{1'000};
 constexpr std::uint64_t most_message_bytes = 16 * 1024 * 1024;
 /// Peers told at once after a change; the others hear it from these.
@@ -101,6 +102,7 @@
   limits.connect_timeout = connect_timeout;
   limits.head_timeout = answer_timeout;
   limits.read_timeout = answer_timeout;
+  limits.whole_timeout = whole_answer_timeout;
   limits.unacknowledged_timeout = unacknowledged_timeout;
   limits.body_bytes = most_message_bytes;
   auto response = co_await shared_.http->fetch(to, std::move(request), limits);
@@ -137,15 +139,16 @@
   message.from = shared_.peers.beat(shared_.dispatcher.own_work());
   message.config_version = shared_.config.version();
   message.config_id = shared_.config_seen.id;
-  message.config_revision = shared_.config_seen.revision;
+  message.config_seen = shared_.config_seen.version;
   message.config_age = now - shared_.config_seen.at;
   if (const auto& list = shared_.servers.newest()) {
-    message.list_revision = list->revision;
+    message.list_version = list->version;
     message.list_id = list->id;
     message.list_age = now - list->read_at;
     message.list_digest = shared_.servers.digest();
   }
   message.absences = shared_.dispatcher.absences(now);
+  message.departures = shared_.servers.departures_to_tell(now);
   message.paces = shared_.dispatcher.own_paces(paces_in_message, now);
   message.peers = shared_.peers.some_peers(now, shared_.random);
   return message;
@@ -157,7 +160,7 @@
     message.config = shared_.config_text;
   }
   const auto& list = shared_.servers.newest();
-  const bool newer = list && theirs.list_revision < message.list_revision;
+  const bool newer = list && theirs.list_version < message.list_version;
   if (newer && theirs.list_digest != message.list_digest) {
     message.list = list->entries;
   }
@@ -169,11 +172,16 @@
   shared_.dispatcher.apply_peer_paces(message.paces, now);
   shared_.dispatcher.apply_absences(message.absences, now);
   shared_.dispatcher.apply_peer_work(shared_.peers.work_of_peers(now));
+  known_.hear_era(std::max(message.config_seen.era, message.list_version.era), message.from.vm);
+  for (const servers::departure& each : message.departures) {
+    known_.hear_departure(each, message.from.vm);
+  }
   if (message.config) {
-    known_.offer_config(*message.config, message.from.vm);
+    // An outdated or unreadable one is logged, and what is in force stays.
+    std::ignore = known_.offer_config(*message.config, message.from.vm);
   }
   known_.confirm_config(message.config_version,
-                        {message.config_id, message.config_revision, now - message.config_age});
+                        {message.config_id, message.config_seen, now - message.config_age});
   take_list(message);
 }
 
@@ -181,15 +189,15 @@
   const auto& own = shared_.servers.newest();
   servers::list_reading reading;
   reading.id = message.list_id;
-  reading.revision = message.list_revision;
+  reading.version = message.list_version;
   reading.read_at = shared_.time.now() - message.list_age;
   if (shared_.servers.note_copy(reading.id, reading.read_at)) {
     return;
   }
   // The store's revision stands still while nothing changes: then the later reading is newer.
-  const bool newer = !own || reading.revision > own->revision ||
-                     (reading.revision == own->revision && reading.read_at > own->read_at);
-  if (message.list_revision == 0 || !newer) {
+  const bool newer = !own || reading.version > own->version ||
+                     (reading.version == own->version && reading.read_at > own->read_at);
+  if (message.list_version.revision == 0 || !newer) {
     return;
   }
   if (message.list) {
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 #include "hawthornnotch/base/hash.h"
@@ -29,16 +30,17 @@
 constexpr std::int64_t target_factor = 2;
 /// Less than this left is too little to send a request.
 constexpr duration least_send_time{20};
-/// Longest whole answer that is kept in memory, in bytes.
-constexpr std::uint64_t most_answer_bytes = 8 * 1024 * 1024;
+/// Longest answer that is no stream, in bytes.
+constexpr std::uint64_t most_answer_bytes = 64 * 1024 * 1024;
 /// How often a request that waits for the first configuration looks for it.
 constexpr std::chrono::milliseconds knowledge_period{10};
 
 }  // namespace
 
-request_run::request_run(state& shared, net::response_writer& writer,
+request_run::request_run(state& shared, knowledge& known, net::response_writer& writer,
                          const asio::any_io_executor& executor)
     : shared_(shared),
+      known_(known),
       writer_(writer),
       timer_(executor),
       breaker_(std::make_shared<net::exchange_breaker>()),
@@ -166,7 +168,11 @@
     query.tried = tried_;
     query.now = shared_.time.now();
     auto chosen = shared_.dispatcher.choose(query);
-    if (!chosen || (arrived_somewhere_ && !repeat_allowed())) {
+    if (!chosen) {
+      all_paused_ = chosen.last_reason() == dispatch::placement_failure::all_paused;
+      break;
+    }
+    if (arrived_somewhere_ && !repeat_allowed()) {
       break;
     }
     const next_step next = co_await send_once(*chosen);
@@ -196,17 +202,19 @@
   limits.unacknowledged_timeout = unacknowledged_timeout;
   limits.head_timeout = rest;
   limits.read_timeout = rest;
-  limits.body_bytes = most_answer_bytes;
+  const bool streams = route_->kind == routes::repeatability::event_stream;
+  limits.body_bytes = streams ? std::numeric_limits<std::uint64_t>::max() : most_answer_bytes;
   const bool can_repeat = may_run_again() && runs_ + 1 < route_->max_attempts;
   if (can_repeat && route_->kind == routes::repeatability::idempotent) {
     limits.head_timeout = std::min(rest, route_->target_latency * target_factor);
   }
-  if (can_repeat && route_->kind == routes::repeatability::event_stream) {
+  if (can_repeat && streams) {
     const duration expected{static_cast<std::int64_t>(to.expected_ms) * expected_factor};
     limits.head_timeout = std::min(rest, std::max(least_first_event, expected));
     limits.read_timeout = limits.head_timeout;
   }
   limits.breaker = breaker_;
+  limits.may_send = [this] { return may_send_now(); };
   limits.is_expected = [this](const net::http_response& head) {
     const answer_facts facts = shared_.wire.decode_answer(head);
     return facts.id == request_.id;
@@ -214,6 +222,11 @@
   return limits;
 }
 
+// While the connection was made, the server may have said that it leaves or is full.
+bool request_run::may_send_now() const {
+  return shared_.dispatcher.takes_work(chosen_.server, shared_.time.now());
+}
+
 asio::awaitable<request_run::next_step> request_run::send_once(const dispatch::placement& to) {
   tried_.push_back(to.server.id);
   chosen_ = to;
@@ -228,6 +241,7 @@
   net::http_request message = shared_.wire.encode_request(request_, order);
   sending_ = shared_.dispatcher.sent(to, prefixes_, shared_.time.now());
   net::exchange_limits limits = limits_for(to);
+  event_timeout_ = limits.read_timeout;
   auto opened = co_await shared_.http->open(to.server.address, std::move(message), limits);
   if (!opened) {
     co_return after_failure(opened.last_reason());
@@ -243,6 +257,13 @@
     runs_ += unsent ? 0 : 1;
     return next_step::must_end;
   }
+  const bool withdrawn = unsent && why.kind == net::net_failure_kind::cancelled;
+  if (withdrawn) {
+    finish_sending(dispatch::send_end::abandoned);
+    log_event(level::info, "send_withdrawn",
+              {{"request_id", request_.id}, {"server", tried_.back()}});
+    return next_step::may_repeat;
+  }
   finish_sending(unsent ? dispatch::send_end::not_connected : dispatch::send_end::broken);
   log_event(level::info, "send_failed",
             {{"request_id", request_.id},
@@ -256,7 +277,9 @@
   }
   arrived_somewhere_ = true;
   ++runs_;
-  const bool repeat = may_run_again() && runs_ < route_->max_attempts;
+  // A stream goes on behind its last event; any other answer can't be mended once it has begun.
+  const bool can_go_on = !head_sent_ || route_->kind == routes::repeatability::event_stream;
+  const bool repeat = can_go_on && may_run_again() && runs_ < route_->max_attempts;
   return repeat ? next_step::may_repeat : next_step::must_end;
 }
 
@@ -285,7 +308,7 @@
              {"expected_ms", static_cast<std::int64_t>(to.expected_ms)},
              {"loss", to.loss},
              {"time_left_ms", left().ms},
-             {"list_revision", shared_.servers.newest() ? shared_.servers.newest()->revision : 0},
+             {"list_revision", shared_.servers.newest() ? shared_.servers.newest()->version.revision : 0},
              {"list_age_ms", shared_.servers.age(now).value_or(duration{-1}).ms}});
 }
 
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -13,6 +13,7 @@
 #include "hawthornnotch/net/http_server.h"
 #include "own_answer.h"
 #include "state.h"
+#include "store_follower.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -23,7 +24,7 @@
 // or if nothing was sent.  Ownership: lives in the coroutine of its connection.
 class request_run {
  public:
-  request_run(state& shared, net::response_writer& writer,
+  request_run(state& shared, knowledge& known, net::response_writer& writer,
               const boost::asio::any_io_executor& executor);
   ~request_run();
   request_run(const request_run&) = delete;
@@ -54,14 +55,24 @@
   boost::asio::awaitable<next_step> send_once(const dispatch::placement& to);
   boost::asio::awaitable<next_step> deliver(net::response_stream& answer);
   boost::asio::awaitable<next_step> deliver_whole(net::response_stream& answer);
+  boost::asio::awaitable<next_step> deliver_long(net::response_stream& answer, std::string begin);
+  boost::asio::awaitable<next_step> end_whole(net::http_response whole);
+  boost::asio::awaitable<bool> write_on(std::string_view bytes);
+  next_step caller_has_left(net::response_stream& answer);
   boost::asio::awaitable<next_step> deliver_events(net::response_stream& answer);
   void note_events();
   boost::asio::awaitable<bool> start_answer(const net::http_response& head);
   boost::asio::awaitable<bool> forward(const net::http_response& head, const event_batch& batch);
   next_step after_failure(const net::net_failure& why);
+  next_step after_refusal(const answer_facts& facts, unsigned status);
+  // Takes in what the server says of itself.
+  void take_notices(const answer_facts& facts);
+  [[nodiscard]] bool may_send_now() const;
   boost::asio::awaitable<void> answer_without_server();
   boost::asio::awaitable<void> refuse(own_answer why);
   [[nodiscard]] std::optional<duration> retry_after(own_answer why);
+  // \returns the least time to wait before the spread.
+  [[nodiscard]] duration base_wait(own_answer why) const;
   [[nodiscard]] net::exchange_limits limits_for(const dispatch::placement& to) const;
   [[nodiscard]] bool repeat_allowed();
   void finish_sending(dispatch::send_end end);
@@ -69,6 +80,7 @@
   void log_end();
 
   state& shared_;
+  knowledge& known_;
   net::response_writer& writer_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<net::exchange_breaker> breaker_;
@@ -92,6 +104,10 @@
   event_splitter splitter_;
   // Servers that may have run the request.
   std::uint32_t runs_ = 0;
+  // Servers that refused it without running it.
+  std::uint32_t refusals_ = 0;
+  // No server takes the request for now, since all that could are full.
+  bool all_paused_ = false;
   // A server has seen the request: from then on, sending it again is a repeat.
   bool arrived_somewhere_ = false;
   bool head_sent_ = false;
@@ -103,6 +119,8 @@
   std::uint32_t events_ = 0;
   std::optional<duration> first_event_after_;
   time_point last_events_at_;
+  // The longest wait for the next event at the server that answers.
+  duration event_timeout_;
   duration longest_gap_;
   dispatch::placement chosen_;
   // As the last server told it.
--- a/src/gateway/request_run_answer.cpp
+++ b/src/gateway/request_run_answer.cpp
@@ -17,6 +17,15 @@
 /// Time a caller is asked to wait where nothing better is known.
 constexpr duration usual_return{300};
 constexpr duration configuration_return{400};
+/// How long other entry VMs are told that a server leaves; the list tells them meanwhile.
+constexpr duration departure_told_for{4'000};
+/// Servers that may refuse a request before its caller is asked to come back: where several are
+/// full, further tries take the time of others and the retry budget from other requests.
+constexpr std::uint32_t most_refusals = 4;
+/// A longer answer goes to the caller piece by piece, since entry VMs have little memory.
+constexpr std::size_t most_held_bytes = 256 * 1024;
+/// Callers who are turned away together return over at most this time.
+constexpr duration longest_spread{2'000};
 /// A caller is not asked to wait for more than this part of the time that it has left.
 constexpr std::int64_t return_part = 3;
 
@@ -33,13 +42,9 @@
   const answer_facts facts = shared_.wire.decode_answer(answer.head());
   arrived_somewhere_ = true;
   load_ = facts.load;
+  take_notices(facts);
   if (facts.not_run) {
-    finish_sending(facts.wrong_server ? dispatch::send_end::wrong_server
-                                      : dispatch::send_end::refused);
-    log_event(
-        level::info, "server_refused",
-        {{"request_id", request_.id}, {"server", tried_.back()}, {"status", answer.head().status}});
-    co_return next_step::may_repeat;
+    co_return after_refusal(facts, answer.head().status);
   }
   const bool trusted = facts.sealed && !facts.altered;
   if (!trusted) {
@@ -54,6 +59,35 @@
   co_return next;
 }
 
+void request_run::take_notices(const answer_facts& facts) {
+  if (facts.leaving) {
+    known_.hear_departure({chosen_.server.id, chosen_.server.born_ms, departure_told_for},
+                          chosen_.server.id);
+  }
+  if (facts.pause) {
+    shared_.dispatcher.pause(*sending_, *facts.pause, shared_.time.now());
+    shared_.metrics->count("hawthornnotch_server_pauses_total", {{"service", service_}});
+    log_event(level::info, "server_paused",
+              {{"request_id", request_.id},
+               {"server", chosen_.server.id},
+               {"for_ms", facts.pause->ms}});
+  }
+}
+
+request_run::next_step request_run::after_refusal(const answer_facts& facts, unsigned status) {
+  dispatch::send_end end = dispatch::send_end::refused;
+  if (facts.wrong_server) {
+    end = dispatch::send_end::wrong_server;
+  } else if (facts.pause) {
+    end = dispatch::send_end::told_to_pause;
+  }
+  finish_sending(end);
+  log_event(level::info, "server_refused",
+            {{"request_id", request_.id}, {"server", tried_.back()}, {"status", status}});
+  ++refusals_;
+  return refusals_ < most_refusals ? next_step::may_repeat : next_step::must_end;
+}
+
 asio::awaitable<request_run::next_step> request_run::deliver_whole(net::response_stream& answer) {
   net::http_response whole;
   whole.status = answer.head().status;
@@ -67,7 +101,17 @@
       break;
     }
     whole.body += *piece;
+    if (whole.body.size() > most_held_bytes) {
+      const next_step next = co_await deliver_long(answer, std::move(whole.body));
+      co_return next;
+    }
   }
+  const next_step next = co_await end_whole(std::move(whole));
+  co_return next;
+}
+
+// The answer is there from its first to its last byte.
+asio::awaitable<request_run::next_step> request_run::end_whole(net::http_response whole) {
   const bool server_error = whole.status >= first_server_error;
   const time_point now = shared_.time.now();
   shared_.dispatcher.events(*sending_, 1, now);
@@ -92,8 +136,53 @@
   co_return next_step::done;
 }
 
+// Hands on an answer that is too long to be held until it is whole.  A failure's text is never that
+// long: those bytes are no answer.
+asio::awaitable<request_run::next_step> request_run::deliver_long(net::response_stream& answer,
+                                                                  std::string begin) {
+  if (head_sent_ || answer.head().status >= first_server_error) {
+    answer.cancel();
+    co_return after_failure({net::net_failure_kind::too_large, true});
+  }
+  shared_.dispatcher.events(*sending_, 1, shared_.time.now());
+  const bool started = co_await start_answer(answer.head());
+  if (!started) {
+    co_return caller_has_left(answer);
+  }
+  std::string piece = std::move(begin);
+  while (!piece.empty()) {
+    const bool written = co_await write_on(piece);
+    if (!written) {
+      co_return caller_has_left(answer);
+    }
+    auto next = co_await answer.read();
+    if (!next) {
+      co_return after_failure(next.last_reason());
+    }
+    piece = std::move(*next);
+  }
+  finish_sending(dispatch::send_end::completed);
+  ++runs_;
+  const auto finished = co_await writer_.finish();
+  outcome_ = finished ? "delivered" : "caller_left";
+  co_return next_step::done;
+}
+
+asio::awaitable<bool> request_run::write_on(std::string_view bytes) {
+  const auto written = co_await writer_.write(bytes);
+  co_return written.has_value();
+}
+
+request_run::next_step request_run::caller_has_left(net::response_stream& answer) {
+  answer.cancel();
+  caller_left_ = true;
+  finish_sending(dispatch::send_end::abandoned);
+  return next_step::must_end;
+}
+
 asio::awaitable<request_run::next_step> request_run::deliver_events(net::response_stream& answer) {
   splitter_.restart();
+  time_point progress_at = shared_.time.now();
   while (true) {
     auto piece = co_await answer.read();
     if (!piece) {
@@ -103,21 +192,25 @@
       break;
     }
     const event_batch batch = splitter_.take(*piece);
-    if (batch.out_of_order) {
+    if (batch.broken) {
       answer.cancel();
       co_return after_failure({net::net_failure_kind::malformed, true});
     }
+    const time_point now = shared_.time.now();
     if (batch.count == 0) {
+      // Bytes that bring no event do not keep a stream alive.
+      if (now - progress_at > event_timeout_) {
+        answer.cancel();
+        co_return after_failure({net::net_failure_kind::timed_out, true});
+      }
       continue;
     }
+    progress_at = now;
     note_events();
-    shared_.dispatcher.events(*sending_, batch.count, shared_.time.now());
+    shared_.dispatcher.events(*sending_, batch.count, now);
     const bool forwarded = co_await forward(answer.head(), batch);
     if (!forwarded) {
-      answer.cancel();
-      caller_left_ = true;
-      finish_sending(dispatch::send_end::abandoned);
-      co_return next_step::must_end;
+      co_return caller_has_left(answer);
     }
   }
   if (!splitter_.between_events()) {
@@ -161,8 +254,8 @@
     co_return false;
   }
   events_ += batch.count;
-  const auto written = co_await writer_.write(batch.text);
-  co_return written.has_value();
+  const bool written = co_await write_on(batch.text);
+  co_return written;
 }
 
 asio::awaitable<void> request_run::answer_without_server() {
@@ -188,6 +281,8 @@
     co_await refuse(late ? own_answer::time_over : own_answer::server_failed);
   } else if (late) {
     co_await refuse(own_answer::time_over_unsent);
+  } else if (all_paused_) {
+    co_await refuse(own_answer::overloaded);
   } else {
     co_await refuse(tried_.empty() ? own_answer::no_server : own_answer::servers_refused);
   }
@@ -203,15 +298,25 @@
   }
 }
 
+duration request_run::base_wait(own_answer why) const {
+  if (why == own_answer::no_configuration) {
+    return configuration_return;
+  }
+  if (why == own_answer::overloaded) {
+    const auto end = shared_.dispatcher.first_end_of_pause(service_, shared_.time.now());
+    return end.value_or(usual_return);
+  }
+  return usual_return;
+}
+
 // Spread over time, so that callers who were turned away together do not return together.
 std::optional<duration> request_run::retry_after(own_answer why) {
   if (status_of(why) != service_unavailable) {
     return std::nullopt;
   }
-  const duration base = why == own_answer::no_configuration ? configuration_return : usual_return;
-  const auto spread =
-      static_cast<std::int64_t>(shared_.random.unit() * static_cast<double>(base.ms));
-  duration wait = base + duration{spread};
+  const duration base = base_wait(why);
+  const auto longest = static_cast<double>(std::min(base, longest_spread).ms);
+  duration wait = base + duration{static_cast<std::int64_t>(shared_.random.unit() * longest)};
   if (request_.time_left) {
     wait = std::min(wait, *request_.time_left / return_part);
   }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -15,6 +15,7 @@
 #include "hawthornnotch/observe/metrics.h"
 #include "hawthornnotch/relay/confirmation.h"
 #include "hawthornnotch/relay/peer_set.h"
+#include "hawthornnotch/relay/store_era.h"
 #include "hawthornnotch/routes/route_table.h"
 #include "hawthornnotch/servers/server_list.h"
 
@@ -43,6 +44,7 @@
   std::string config_text;
   // When it was last known to be the newest.
   relay::confirmation config_seen;
+  relay::store_era era;
   servers::server_list servers;
   relay::peer_set peers;
   dispatch::dispatcher dispatcher;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -58,11 +58,11 @@
   return "";
 }
 
-bool knowledge::offer_config(std::string text, std::string_view source) {
+knowledge::config_offer knowledge::offer_config(std::string text, std::string_view source) {
   auto decoded = shared_.wire.decode_config(text);
   if (!decoded) {
     log_event(level::warning, "config_unreadable", {{"source", source}, {"bytes", text.size()}});
-    return false;
+    return config_offer::unreadable;
   }
   const std::int64_t before = shared_.config.version();
   const std::int64_t offered = decoded->version;
@@ -71,9 +71,39 @@
     shared_.config_text = std::move(text);
     log_event(level::info, "config_applied",
               {{"version", offered}, {"before", before}, {"source", source}});
-    changed_();
+    listeners_.changed();
   }
-  return true;
+  return offered < shared_.config.version() ? config_offer::outdated : config_offer::in_force;
+}
+
+void knowledge::hear_era(std::int64_t era, std::string_view source) {
+  const std::int64_t before = shared_.era.current();
+  switch (shared_.era.heard(era)) {
+    case relay::era_news::same:
+    case relay::era_news::first:
+      return;
+    case relay::era_news::went_back:
+      log_event(level::debug, "store_era_outdated",
+                {{"era", era}, {"known", before}, {"source", source}});
+      return;
+    case relay::era_news::rose:
+      log_event(level::warning, "store_restored",
+                {{"era", era}, {"before", before}, {"source", source}});
+      shared_.metrics->count("hawthornnotch_store_restores_total", {});
+      listeners_.restored();
+      return;
+  }
+}
+
+void knowledge::hear_departure(const servers::departure& heard, std::string_view source) {
+  const bool is_new = shared_.servers.note_leaving(heard.server, heard.born_ms, heard.remaining,
+                                                   shared_.time.now());
+  if (!is_new) {
+    return;
+  }
+  log_event(level::info, "server_leaving", {{"server", heard.server}, {"source", source}});
+  shared_.metrics->count("hawthornnotch_servers_leaving_total", {});
+  listeners_.changed();
 }
 
 void knowledge::confirm_config(std::int64_t version, const relay::confirmation& seen) {
@@ -84,22 +114,23 @@
 
 void knowledge::offer_list(servers::list_reading reading, std::string_view source) {
   const time_point now = shared_.time.now();
-  const std::int64_t revision = reading.revision;
+  const platform::store_version version = reading.version;
   const duration age = now - reading.read_at;
   const servers::list_change change = shared_.servers.apply(reading, now);
   if (change.empty()) {
     return;
   }
-  shared_.dispatcher.forget_gone();
+  shared_.dispatcher.forget_gone(now);
   log_event(level::info, "servers_changed",
-            {{"revision", revision},
+            {{"era", version.era},
+             {"revision", version.revision},
              {"age_ms", age.ms},
              {"source", source},
              {"added", joined(change.added)},
              {"leaving", joined(change.leaving)},
              {"removed", joined(change.removed)}});
   if (!change.leaving.empty() || !change.removed.empty()) {
-    changed_();
+    listeners_.changed();
   }
 }
 
@@ -131,13 +162,14 @@
   const time_point now = shared_.time.now();
   const relay::confirmation& seen = shared_.config_seen;
   // True also where the store was seen to hold no configuration yet.
-  const bool known = seen.revision != 0;
+  const bool known = seen.version.revision != 0;
   const auto age = known ? std::optional(now - seen.at) : std::nullopt;
   if (!schedule_.due(age, seen.id, shared_.peers.position(now), now)) {
     return;
   }
   schedule_.began(seen.id);
-  if (known && !read_whole_) {
+  const bool has_history = known && seen.version.era == shared_.era.current();
+  if (has_history && !read_whole_) {
     await_changes();
   } else {
     read();
@@ -146,12 +178,13 @@
 
 void config_follower::read() {
   const time_point asked_at = shared_.time.now();
-  store_.read(std::string(shared_.wire.config_key()), [this, asked_at](auto answer) {
+  const std::uint64_t asked_in = shared_.era.restores();
+  store_.read(std::string(shared_.wire.config_key()), [this, asked_at, asked_in](auto answer) {
     if (!answer) {
       failed_now(answer.last_reason().kind);
       return;
     }
-    take({answer->revision, asked_at, std::move(answer->found)});
+    take({answer->revision, asked_at, std::move(answer->found), asked_in});
   });
 }
 
@@ -159,7 +192,8 @@
   const time_point asked_at = shared_.time.now();
   const relay::confirmation& seen = shared_.config_seen;
   const duration wait = schedule_.watch_time(seen.id);
-  const auto done = [this, asked_at, wait](auto changes) {
+  const std::uint64_t asked_in = shared_.era.restores();
+  const auto done = [this, asked_at, asked_in, wait](auto changes) {
     if (!changes) {
       failed_now(changes.last_reason().kind);
       return;
@@ -167,7 +201,7 @@
     // An answer without a change left the store when the wait was over.  It may have been read much
     // later, by a process that was paused meanwhile.
     const time_point sent_at = changes->events.empty() ? asked_at + wait : asked_at;
-    finding found{changes->revision, std::min(sent_at, shared_.time.now()), {}};
+    finding found{changes->revision, std::min(sent_at, shared_.time.now()), {}, asked_in};
     for (platform::watch_event& event : changes->events) {
       if (!event.erased) {
         found.items.push_back(std::move(event.now));
@@ -175,31 +209,64 @@
     }
     take(found);
   };
-  store_.await_changes(std::string(shared_.wire.config_prefix()), seen.revision, wait, done);
+  store_.await_changes(std::string(shared_.wire.config_prefix()), seen.version.revision, wait, done);
 }
 
-void config_follower::take(const finding& found) {
-  bool readable = found.revision != 0;
-  for (const platform::key_value& each : found.items) {
+knowledge::config_offer config_follower::offer(std::span<const platform::key_value> items) {
+  auto newest = knowledge::config_offer::in_force;
+  for (const platform::key_value& each : items) {
     if (each.key == shared_.wire.config_key()) {
-      readable = known_.offer_config(each.value, "store") && readable;
+      newest = known_.offer_config(each.value, "store");
     }
   }
-  if (!readable) {
-    read_whole_ = true;
+  return newest;
+}
+
+void config_follower::take(const finding& found) {
+  const bool restored = found.asked_in != shared_.era.restores();
+  if (restored) {
+    // What was found may be of either era.
+    begin_again();
+    return;
+  }
+  if (found.revision == 0) {
     failed_now(platform::failure_kind::malformed_answer);
     return;
   }
+  switch (offer(found.items)) {
+    case knowledge::config_offer::unreadable:
+      failed_now(platform::failure_kind::malformed_answer);
+      return;
+    case knowledge::config_offer::outdated:
+      // The store was restored from an older copy, and the operators have yet to write again.
+      store_config_.failed_now("older_version");
+      begin_again();
+      return;
+    case knowledge::config_offer::in_force:
+      break;
+  }
   read_whole_ = false;
   store_config_.succeeded();
   const std::uint64_t id = shared_.random.engine()();
   schedule_.succeeded(shared_.config_seen.id, id, !found.items.empty());
-  known_.confirm_config(shared_.config.version(), {id, found.revision, found.at});
+  known_.confirm_config(shared_.config.version(),
+                        {id, {shared_.era.current(), found.revision}, found.at});
 }
 
 void config_follower::failed_now(platform::failure_kind why) {
-  read_whole_ = read_whole_ || why == platform::failure_kind::history_gone;
   store_config_.failed_now(to_string(why));
+  const bool lost_history = why == platform::failure_kind::history_gone ||
+                            why == platform::failure_kind::malformed_answer;
+  if (lost_history) {
+    begin_again();
+    return;
+  }
+  const time_point now = shared_.time.now();
+  schedule_.failed_now(shared_.peers.position(now), shared_.random.unit(), now);
+}
+
+void config_follower::begin_again() {
+  read_whole_ = true;
   const time_point now = shared_.time.now();
   schedule_.failed_now(shared_.peers.position(now), shared_.random.unit(), now);
 }
@@ -230,22 +297,36 @@
 
 void list_follower::read() {
   const time_point asked_at = shared_.time.now();
-  store_.read_prefix(std::string(shared_.wire.server_prefix()), [this, asked_at](auto answer) {
-    if (!answer) {
-      const time_point now = shared_.time.now();
-      store_list_.failed_now(to_string(answer.last_reason().kind));
-      schedule_.failed_now(shared_.peers.position(now), shared_.random.unit(), now);
-      return;
-    }
+  const std::uint64_t asked_in = shared_.era.restores();
+  store_.read_prefix(
+      std::string(shared_.wire.server_prefix()),
+      [this, asked_at, asked_in](const auto& answer) { take(answer, asked_at, asked_in); });
+}
+
+void list_follower::take(const result<platform::read_outcome, platform::platform_failure>& answer,
+                         time_point asked_at, std::uint64_t asked_in) {
+  if (answer) {
     store_list_.succeeded();
-    take(*answer, asked_at);
-  });
+  } else {
+    store_list_.failed_now(to_string(answer.last_reason().kind));
+  }
+  // Pages that were read around a restore are of two eras.
+  const bool restored = asked_in != shared_.era.restores();
+  if (!answer || restored) {
+    const time_point now = shared_.time.now();
+    schedule_.failed_now(shared_.peers.position(now), shared_.random.unit(), now);
+    return;
+  }
+  servers::list_reading reading = reading_of(*answer, asked_at);
+  schedule_.succeeded(newest_id(), reading.id, false);
+  known_.offer_list(std::move(reading), "store");
 }
 
-void list_follower::take(const platform::read_outcome& answer, time_point asked_at) {
+servers::list_reading list_follower::reading_of(const platform::read_outcome& answer,
+                                                time_point asked_at) const {
   servers::list_reading reading;
   reading.id = shared_.random.engine()();
-  reading.revision = answer.revision;
+  reading.version = {shared_.era.current(), answer.revision};
   reading.read_at = asked_at;
   for (const platform::key_value& each : answer.found) {
     auto entry = shared_.wire.decode_server(each.key, each.value);
@@ -255,8 +336,7 @@
       log_event(level::debug, "server_entry_unreadable", {{"key", each.key}});
     }
   }
-  schedule_.succeeded(newest_id(), reading.id, false);
-  known_.offer_list(std::move(reading), "store");
+  return reading;
 }
 
 }  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -3,6 +3,7 @@
 #define HAWTHORNNOTCH_SRC_GATEWAY_STORE_FOLLOWER_H_
 
 #include <functional>
+#include <span>
 #include <string_view>
 
 #include "hawthornnotch/platform/client.h"
@@ -13,22 +14,40 @@
 
 namespace hawthornnotch::gateway::internal {
 
+// Who is called when something else is known.
+struct knowledge_listeners {
+  // A newer configuration is in force, or a server leaves or is gone.
+  std::function<void()> changed;
+  // The store was restored from an older copy.
+  std::function<void()> restored;
+};
+
 // Takes over what comes from the store or from a peer, and says what changed.
 class knowledge {
  public:
-  // \param changed called after a newer configuration, or a server that leaves or is gone.
-  knowledge(state& shared, std::function<void()> changed)
-      : shared_(shared), changed_(std::move(changed)) {}
+  knowledge(state& shared, knowledge_listeners listeners)
+      : shared_(shared), listeners_(std::move(listeners)) {}
+  // What became of a configuration.
+  enum class config_offer : std::uint8_t {
+    // It is in force, now or already.
+    in_force,
+    // A newer one is in force.
+    outdated,
+    unreadable,
+  };
   // \param source for the log: where the text comes from.
-  // \returns false if the text is no configuration that can be read.
-  bool offer_config(std::string text, std::string_view source);
+  config_offer offer_config(std::string text, std::string_view source);
   // Somebody has seen that this version was the newest.
   void confirm_config(std::int64_t version, const relay::confirmation& seen);
   void offer_list(servers::list_reading reading, std::string_view source);
+  // The store, or a peer, names its era.
+  void hear_era(std::int64_t era, std::string_view source);
+  // A server says that it leaves.
+  void hear_departure(const servers::departure& heard, std::string_view source);
 
  private:
   state& shared_;
-  std::function<void()> changed_;
+  knowledge_listeners listeners_;
 };
 
 // \returns the failure's name for logs.
@@ -66,11 +85,17 @@
     // When the store was known to hold it.
     time_point at;
     std::vector<platform::key_value> items;
+    // `store_era::restores` when the call began.
+    std::uint64_t asked_in = 0;
   };
   // Takes over a configuration, and confirms what is known now as the newest, unless the newest
   // cannot be read.
   void take(const finding& found);
+  // \returns what became of the newest configuration among the items.
+  knowledge::config_offer offer(std::span<const platform::key_value> items);
   void failed_now(platform::failure_kind why);
+  // The next call reads the whole, after a pause.
+  void begin_again();
 
   state& shared_;
   knowledge& known_;
@@ -78,7 +103,7 @@
   ticker ticker_;
   relay::reading_schedule schedule_;
   // The next call reads the whole: the history behind the last confirmation is gone, or the newest
-  // configuration could not be read.
+  // configuration could not be read or is older than the one in force.
   bool read_whole_ = false;
   dependency store_config_{"store_config"};
 };
@@ -94,7 +119,11 @@
  private:
   void call_if_due();
   void read();
-  void take(const platform::read_outcome& answer, time_point asked_at);
+  // \param asked_in `store_era::restores` when the call began.
+  void take(const result<platform::read_outcome, platform::platform_failure>& answer,
+            time_point asked_at, std::uint64_t asked_in);
+  [[nodiscard]] servers::list_reading reading_of(const platform::read_outcome& answer,
+                                                 time_point asked_at) const;
   // \returns the id of the newest reading known; 0 for none.
   [[nodiscard]] std::uint64_t newest_id() const;
 
--- a/src/gateway/store_registration.cpp
+++ b/src/gateway/store_registration.cpp
@@ -16,6 +16,8 @@
 /// A VM that ends without notice is still named in the store for this long.
 constexpr duration lease_time{30'000};
 constexpr duration renewal_period{10'000};
+/// Time over which entries are written again after a restore of the store.
+constexpr duration restore_spread{2'000};
 /// Pause after a failed call; entries outlive several.
 constexpr duration retry_period{4'000};
 /// How soon after the start, and how often, a process looks whether it has to keep an entry, and
@@ -44,6 +46,7 @@
 
 // Who comes first is known only when the others had time to make themselves known.
 void store_registration::look() {
+  forget_lost_lease();
   const time_point now = shared_.time.now();
   const bool knows_order = alone() || now - started_at_ >= look_period;
   if (!knows_order || !relay::keeps_entry(shared_.peers.position(now))) {
@@ -73,26 +76,44 @@
   });
 }
 
+void store_registration::forget_lost_lease() {
+  if (granted_in_ != shared_.era.restores()) {
+    lease_ = 0;
+  }
+}
+
+// Spread, since all VMs that keep an entry hear of the restore at about the same time.
+void store_registration::begin_again() {
+  if (lease_ == 0) {
+    return;
+  }
+  const auto pause = static_cast<std::int64_t>(shared_.random.unit() *
+                                               static_cast<double>(restore_spread.ms));
+  next_in({pause}, &store_registration::look);
+}
+
 void store_registration::announce() {
-  store_.grant_lease(lease_time, [this](auto lease) {
+  const std::uint64_t asked_in = shared_.era.restores();
+  store_.grant_lease(lease_time, [this, asked_in](auto lease) {
     if (!lease) {
       retry(lease.last_reason().kind);
       return;
     }
-    write(*lease);
+    write(*lease, asked_in);
   });
 }
 
-void store_registration::write(std::int64_t lease) {
+void store_registration::write(std::int64_t lease, std::uint64_t asked_in) {
   platform::transaction change;
   const std::string key = std::string(entry_prefix) + shared_.settings.vm;
   change.effects.emplace_back(platform::put{key, relay::encode_peer(shared_.peers.self()), lease});
-  store_.transact(std::move(change), [this, lease](auto outcome) {
+  store_.transact(std::move(change), [this, lease, asked_in](auto outcome) {
     if (!outcome) {
       retry(outcome.last_reason().kind);
       return;
     }
     lease_ = lease;
+    granted_in_ = asked_in;
     kept();
   });
 }
@@ -113,7 +134,8 @@
 
 void store_registration::kept() {
   store_lease_.succeeded();
-  next_in(renewal_period, &store_registration::look);
+  const bool restored = granted_in_ != shared_.era.restores();
+  next_in(restored ? restore_spread : renewal_period, &store_registration::look);
 }
 
 void store_registration::find_peers() {
--- a/src/gateway/store_registration.h
+++ b/src/gateway/store_registration.h
@@ -19,17 +19,22 @@
   store_registration(state& shared, platform::key_value_store& store,
                      const boost::asio::any_io_executor& executor);
   void start();
+  // The store was restored: the entry may be gone from it.
+  void begin_again();
 
  private:
   // Takes up or gives up the entry as the order of the entry VMs demands.
   void look();
   void announce();
-  void write(std::int64_t lease);
+  // \param asked_in `store_era::restores` when the lease was asked for.
+  void write(std::int64_t lease, std::uint64_t asked_in);
   void renew();
   void kept();
   void retry(platform::failure_kind why);
   void find_peers();
   void take_entries(std::span<const platform::key_value> entries);
+  // Gives up a lease that a restore of the store may have ended or given to another VM.
+  void forget_lost_lease();
   // \returns whether no other live entry VM is known.
   [[nodiscard]] bool alone() const;
   void next_in(duration pause, void (store_registration::*step)());
@@ -41,7 +46,10 @@
   time_point started_at_;
   // When the entries of the others were last read.
   time_point met_at_;
+  // 0 while the process has none.
   std::int64_t lease_ = 0;
+  // `store_era::restores` when it was granted: after a restore it may be another VM's.
+  std::uint64_t granted_in_ = 0;
   dependency store_lease_{"store_lease"};
   dependency store_entries_{"store_entries"};
 };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 
 #include "beast_support.h"
 #include "connection_pool.h"
@@ -18,8 +19,19 @@
 using request_message = http::request<http::string_body>;
 using unacknowledged_option = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-// Bodies that are skipped together with an answer that is not the expected one.
+using steady_time = std::chrono::steady_clock::time_point;
+
+// Answers that are skipped, with their bodies, before the expected one.
 constexpr std::size_t most_skipped_answers = 4;
+// Interim answers before the final one.
+constexpr std::size_t most_interim_answers = 16;
+// Received bytes that are no whole head, chunk header or trailer yet.
+constexpr std::size_t most_unparsed_bytes = 64 * 1024;
+
+bool is_interim(unsigned status) {
+  constexpr unsigned first_final = 200;
+  return status < first_final;
+}
 
 // \returns the seconds after `timeout=` in a Keep-Alive header.
 std::optional<duration> stated_idle_time(std::string_view header) {
@@ -121,7 +133,9 @@
     }
     outgoing_ = std::make_shared<outgoing>();
     outgoing_->message = to_message(to_, std::move(request));
-    stream_->expires_after(to_chrono(limits_.head_timeout));
+    sent_at_ = std::chrono::steady_clock::now();
+    deadline_ = sent_at_ + to_chrono(limits_.head_timeout);
+    stream_->expires_at(deadline_);
     http::async_write(*stream_, outgoing_->message,
                       [sent = outgoing_](const error_code& error, std::size_t /*count*/) {
                         sent->done = true;
@@ -130,14 +144,18 @@
     return ok;
   }
 
+  // However many answers are skipped, the expected one's head is there in time or never.
   asio::awaitable<status<net_failure>> read_head() {
     for (std::size_t skipped = 0; skipped <= most_skipped_answers; ++skipped) {
-      const error_code error = co_await read_one_head();
+      const error_code error = co_await read_final_head();
       if (error) {
         co_return failed{
             net_failure{cancelled_ ? net_failure_kind::cancelled : kind_of(error), true}};
       }
       if (!limits_.is_expected || limits_.is_expected(head_)) {
+        const bool bounded = limits_.whole_timeout.ms > 0;
+        is_answered_ = true;
+        deadline_ = bounded ? sent_at_ + to_chrono(limits_.whole_timeout) : steady_time::max();
         co_return ok;
       }
       const bool whole = co_await skip_body();
@@ -148,11 +166,21 @@
     co_return failed{net_failure{net_failure_kind::malformed, true}};
   }
 
+  asio::awaitable<error_code> read_final_head() {
+    for (std::size_t interim = 0; interim <= most_interim_answers; ++interim) {
+      const error_code error = co_await read_one_head();
+      if (error || !is_interim(head_.status)) {
+        co_return error;
+      }
+    }
+    co_return http::error::bad_status;
+  }
+
   asio::awaitable<error_code> read_one_head() {
     parser_.emplace();
     parser_->body_limit(limits_.body_bytes);
     head_ = http_response{};
-    stream_->expires_after(to_chrono(limits_.head_timeout));
+    stream_->expires_at(deadline_);
     const auto [error, count] =
         co_await http::async_read_header(*stream_, buffer_, *parser_, as_result);
     if (!error) {
@@ -186,7 +214,8 @@
       chunk.resize(chunk_bytes);
       parser_->get().body().data = chunk.data();
       parser_->get().body().size = chunk.size();
-      stream_->expires_after(to_chrono(limits_.read_timeout));
+      const steady_time now = std::chrono::steady_clock::now();
+      stream_->expires_at(std::min(deadline_, now + to_chrono(limits_.read_timeout)));
       const auto [error, count] =
           co_await http::async_read_some(*stream_, buffer_, *parser_, as_result);
       chunk.resize(chunk_bytes - parser_->get().body().size);
@@ -212,10 +241,11 @@
     return cancelled_ || (limits_.breaker && limits_.breaker->cancelled());
   }
 
-  // Keeps the connection only when the whole request was sent and the whole answer was read.
+  // Keeps the connection only when the whole request was sent and its whole answer was read: after
+  // answers to other requests alone, its own may come at any time.
   void give_back() {
     const bool sent = outgoing_ && outgoing_->whole;
-    const bool whole = stream_ && parser_ && parser_->is_done() && buffer_.size() == 0;
+    const bool whole = is_answered_ && parser_ && parser_->is_done() && buffer_.size() == 0;
     if (!sent || !whole || cancelled_ || !parser_->keep_alive()) {
       return;
     }
@@ -228,10 +258,15 @@
   endpoint to_;
   exchange_limits limits_;
   std::unique_ptr<beast::tcp_stream> stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{most_unparsed_bytes};
   std::optional<response_parser> parser_;
   std::shared_ptr<outgoing> outgoing_;
   http_response head_;
+  // The head of the expected answer was read.
+  bool is_answered_ = false;
+  steady_time sent_at_;
+  // The head, and later the whole answer, has to be there by then.
+  steady_time deadline_ = steady_time::max();
   bool cancelled_ = false;
 };
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -22,6 +22,8 @@
 
 constexpr std::string_view go_on_line = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::size_t read_bytes = 4096;
+// Received bytes behind a head that are no whole chunk header or trailer yet.
+constexpr std::size_t most_unparsed_bytes = 128 * 1024;
 constexpr std::string_view end_of_head = "\r\n\r\n";
 
 // Whether a header line goes on in the next line, which HTTP/1.1 no longer allows: another reader
@@ -229,6 +231,7 @@
     request_parser parser;
     parser.header_limit(limits().header_bytes);
     parser.body_limit(limits().body_bytes);
+    buffer_.max_size(limits().header_bytes + most_unparsed_bytes);
     const bool fresh = buffer_.size() == 0;
     if (fresh) {
       const bool has_begun = co_await wait_for_first_byte();
--- a/src/relay/confirmation.cpp
+++ b/src/relay/confirmation.cpp
@@ -5,7 +5,7 @@
 namespace hawthornnotch::relay {
 
 bool take_newer(confirmation& known, const confirmation& heard) {
-  if (heard.revision == 0) {
+  if (heard.version.revision == 0) {
     return false;
   }
   if (heard.id == known.id) {
@@ -14,7 +14,7 @@
   }
   // The store's revision stands still while nothing changes: then the later look is newer.
   const bool newer =
-      heard.revision > known.revision || (heard.revision == known.revision && heard.at > known.at);
+      heard.version > known.version || (heard.version == known.version && heard.at > known.at);
   if (newer) {
     known = heard;
   }
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -31,6 +31,7 @@
 json::object to_json(const peer& each);
 json::object to_json(const server_pace& pace);
 json::object to_json(const server_absence& absence);
+json::object to_json(const servers::departure& departure);
 json::object to_json(const servers::server_entry& entry);
 
 template <class Range>
@@ -67,6 +68,12 @@
   return {{"server", absence.server}, {"remaining_ms", absence.remaining.ms}};
 }
 
+json::object to_json(const servers::departure& departure) {
+  return {{"server", departure.server},
+          {"born", departure.born_ms},
+          {"remaining_ms", departure.remaining.ms}};
+}
+
 json::object to_json(const servers::server_entry& entry) {
   return {{"id", entry.id},
           {"born", entry.born_ms},
@@ -142,6 +149,15 @@
   return out;
 }
 
+servers::departure read_departure(const json::object& object, bool& good) {
+  object_reader reader(object, good);
+  servers::departure out;
+  out.server = reader->text("server");
+  out.born_ms = reader->integer("born", any_number);
+  out.remaining = {reader->integer("remaining_ms", any_count)};
+  return out;
+}
+
 servers::server_entry read_entry(const json::object& object, bool& good) {
   object_reader reader(object, good);
   servers::server_entry out;
@@ -177,15 +193,25 @@
   json::object out{{"from", to_json(message.from)},
                    {"config_version", message.config_version},
                    {"config_id", std::to_string(message.config_id)},
-                   {"config_revision", message.config_revision},
+                   {"config_revision", message.config_seen.revision},
                    {"config_age_ms", message.config_age.ms},
-                   {"list_revision", message.list_revision},
+                   {"list_revision", message.list_version.revision},
                    {"list_id", std::to_string(message.list_id)},
                    {"list_age_ms", message.list_age.ms},
                    {"list_digest", std::to_string(message.list_digest)},
                    {"paces", to_array(message.paces)},
                    {"absences", to_array(message.absences)},
                    {"peers", to_array(message.peers)}};
+  // What says nothing is left out, so that VMs of an earlier release can read the rest.
+  if (message.config_seen.era != 0) {
+    out["config_era"] = message.config_seen.era;
+  }
+  if (message.list_version.era != 0) {
+    out["list_era"] = message.list_version.era;
+  }
+  if (!message.departures.empty()) {
+    out["departures"] = to_array(message.departures);
+  }
   if (message.config) {
     out["config"] = *message.config;
   }
@@ -208,9 +234,11 @@
       out.from = read_peer(*from, good);
     }
     out.config_version = reader->integer("config_version", any_count);
-    out.config_revision = reader->integer("config_revision", any_count);
+    out.config_seen.era = reader->integer("config_era", any_count, 0);
+    out.config_seen.revision = reader->integer("config_revision", any_count);
     out.config_age = {reader->integer("config_age_ms", any_count)};
-    out.list_revision = reader->integer("list_revision", any_count);
+    out.list_version.era = reader->integer("list_era", any_count, 0);
+    out.list_version.revision = reader->integer("list_revision", any_count);
     out.list_age = {reader->integer("list_age_ms", any_count)};
     for (const json::object* pace : reader->objects("paces", true)) {
       out.paces.push_back(read_pace(*pace, good));
@@ -218,6 +246,9 @@
     for (const json::object* absence : reader->objects("absences", true)) {
       out.absences.push_back(read_absence(*absence, good));
     }
+    for (const json::object* departure : reader->objects("departures")) {
+      out.departures.push_back(read_departure(*departure, good));
+    }
     for (const json::object* each : reader->objects("peers", true)) {
       out.peers.push_back(read_peer(*each, good));
     }
--- a/tests/adapter/wire_protocol_test.cpp
+++ b/tests/adapter/wire_protocol_test.cpp
@@ -131,5 +131,39 @@
   CPPUNIT_ASSERT(!decode(R"({"Service":"s","Zone":"z","State":"ready"})"));
 }
 
+net::http_response refusal_with(std::string seconds) {
+  net::http_response response;
+  response.status = 503;
+  response.headers = {{"X-Not-Executed", "1"}, {"Retry-After", std::move(seconds)}};
+  return response;
+}
+
+TEST_THAT(wire_protocol, reads_for_how_long_a_full_server_wants_nothing) {
+  const wire_protocol wire;
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{3'000}, wire.decode_answer(refusal_with("3")).pause->ms);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{251}, wire.decode_answer(refusal_with("0.2501")).pause->ms);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{3'600'000},
+                       wire.decode_answer(refusal_with("1e12")).pause->ms);
+  for (const char* nonsense : {"", "soon", "-1", "nan", "inf", "3 s", "1e999",
+                               "Fri, 04 Dec 2026 11:00:00 GMT"}) {
+    CPPUNIT_ASSERT_MESSAGE(nonsense, !wire.decode_answer(refusal_with(nonsense)).pause);
+  }
+  net::http_response success = refusal_with("3");
+  success.status = 200;
+  CPPUNIT_ASSERT(!wire.decode_answer(success).pause);
+}
+
+TEST_THAT(wire_protocol, reads_that_a_server_leaves_but_not_from_another_one_at_its_address) {
+  const wire_protocol wire;
+  net::http_response response;
+  CPPUNIT_ASSERT(!wire.decode_answer(response).leaving);
+  response.headers = {{"Server-Leaving", "0"}};
+  CPPUNIT_ASSERT(!wire.decode_answer(response).leaving);
+  response.headers = {{"server-leaving", "1"}};
+  CPPUNIT_ASSERT(wire.decode_answer(response).leaving);
+  response.status = 421;
+  CPPUNIT_ASSERT(!wire.decode_answer(response).leaving);
+}
+
 }  // namespace
 }  // namespace hawthornnotch::adapter
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -35,7 +35,7 @@
  public:
   explicit fleet_case(std::size_t servers) {
     servers::list_reading reading;
-    reading.revision = 1;
+    reading.version.revision = 1;
     reading.read_at = now;
     for (std::size_t index = 0; index < servers; ++index) {
       reading.entries.push_back(
@@ -360,7 +360,7 @@
   time_point now{1'000'000};
   servers::server_list list{servers::server_list_settings{}};
   servers::list_reading reading;
-  reading.revision = 1;
+  reading.version.revision = 1;
   reading.read_at = now;
   for (std::uint16_t index = 0; index < 18; ++index) {
     servers::server_entry entry =
@@ -494,7 +494,7 @@
 TEST_THAT(dispatcher, counts_the_streams_of_each_service_by_itself) {
   fleet_case fleet(40);
   servers::list_reading reading = *fleet.list.newest();
-  ++reading.revision;
+  ++reading.version.revision;
   ++reading.id;
   for (std::size_t index = 0; index < 20; ++index) {
     reading.entries.push_back(
@@ -513,5 +513,85 @@
   CPPUNIT_ASSERT(fleet.choose_stream(entry, 2).kept_for_streams);
 }
 
+// Full servers that say for how long they want nothing.
+
+// Sends a request to a server of the fleet's choice, which asks for a pause.
+servers::server_entry pause_one(fleet_case& fleet, dispatcher& at, duration time) {
+  const auto prefixes = prompt_about(1, 1);
+  const placement chosen = fleet.choose(at, prefixes);
+  const sending sent = at.sent(chosen, prefixes, fleet.now);
+  at.pause(sent, time, fleet.now);
+  at.ended(sent, send_end::told_to_pause, fleet.now);
+  return chosen.server;
+}
+
+TEST_THAT(paused_server, is_not_chosen_before_its_time_is_over) {
+  fleet_case fleet(3);
+  dispatcher at(fleet.list, "zg-istok", 1);
+  const servers::server_entry paused = pause_one(fleet, at, 5_s);
+  CPPUNIT_ASSERT(!at.takes_work(paused, fleet.now));
+  fleet.now = fleet.now + 4'999_ms;
+  for (std::uint64_t request = 0; request < 100; ++request) {
+    CPPUNIT_ASSERT(fleet.choose(at, prompt_about(1, request)).server.id != paused.id);
+  }
+  fleet.now = fleet.now + 1_ms;
+  CPPUNIT_ASSERT(at.takes_work(paused, fleet.now));
+  CPPUNIT_ASSERT_EQUAL(paused.id, fleet.choose(at, prompt_about(1, 1)).server.id);
+}
+
+TEST_THAT(paused_server, keeps_the_latest_of_several_ends) {
+  fleet_case fleet(2);
+  dispatcher at(fleet.list, "zg-istok", 1);
+  const auto prefixes = prompt_about(1, 1);
+  const sending sent = at.sent(fleet.choose(at, prefixes), prefixes, fleet.now);
+  at.pause(sent, 5_s, fleet.now);
+  fleet.now = fleet.now + 1_s;
+  at.pause(sent, 1_s, fleet.now);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{4'000}, at.first_end_of_pause("forecast", fleet.now)->ms);
+}
+
+TEST_THAT(paused_server, leaves_a_request_without_any_where_all_are) {
+  fleet_case fleet(2);
+  dispatcher at(fleet.list, "zg-istok", 1);
+  pause_one(fleet, at, 9_s);
+  pause_one(fleet, at, 7_s);
+  const auto prefixes = prompt_about(1, 1);
+  const auto chosen = at.choose(fleet.query_for(prefixes));
+  CPPUNIT_ASSERT(!chosen.has_value());
+  CPPUNIT_ASSERT(chosen.last_reason() == placement_failure::all_paused);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{7'000}, at.first_end_of_pause("forecast", fleet.now)->ms);
+}
+
+TEST_THAT(paused_server, is_remembered_while_the_list_lacks_it_but_not_in_its_next_start) {
+  fleet_case fleet(2);
+  dispatcher at(fleet.list, "zg-istok", 1);
+  servers::server_entry paused = pause_one(fleet, at, 9_s);
+  const servers::list_reading all = *fleet.list.newest();
+  servers::list_reading without = all;
+  without.id = 2;
+  std::erase_if(without.entries, [&](const auto& each) { return each.id == paused.id; });
+  fleet.list.apply(without, fleet.now);
+  at.forget_gone(fleet.now);
+  servers::list_reading again = all;
+  again.id = 3;
+  fleet.list.apply(again, fleet.now);
+  CPPUNIT_ASSERT(!at.takes_work(paused, fleet.now));
+  for (servers::server_entry& each : again.entries) {
+    each.born_ms += each.id == paused.id ? 1 : 0;
+  }
+  again.id = 4;
+  fleet.list.apply(again, fleet.now);
+  CPPUNIT_ASSERT_EQUAL(paused.id, fleet.choose(at, prompt_about(1, 1)).server.id);
+}
+
+TEST_THAT(leaving_server, takes_no_work_though_it_was_chosen_before) {
+  fleet_case fleet(2);
+  dispatcher at(fleet.list, "zg-istok", 1);
+  const placement chosen = fleet.choose(at, prompt_about(1, 1));
+  CPPUNIT_ASSERT(at.takes_work(chosen.server, fleet.now));
+  fleet.list.note_leaving(chosen.server.id, chosen.server.born_ms, 4_s, fleet.now);
+  CPPUNIT_ASSERT(!at.takes_work(chosen.server, fleet.now));
+}
+
 }  // namespace
 }  // namespace hawthornnotch::dispatch
--- a/tests/gateway/whole_path_test.cpp
+++ b/tests/gateway/whole_path_test.cpp
@@ -3,8 +3,7 @@
 #include <thread>
 #include <tuple>
 
-#include "hawthornnotch/net/deflate.h"
-#include "hawthornnotch/relay/exchange.h"
+#include "listening_peer.h"
 #include "test_case.h"
 #include "world.h"
 
@@ -269,37 +268,6 @@
       [&] { return second.must_answer(make_request("GET", "/read/", "t")).status == 401; });
 }
 
-// An entry VM that knows nothing and keeps what it is told.
-class listening_peer {
- public:
-  explicit listening_peer(loopback& around) : server_(around, "entry-9", answer_with_nothing) {}
-  [[nodiscard]] endpoint address() const { return server_.address(); }
-  [[nodiscard]] std::vector<relay::exchange_message> heard() {
-    std::vector<relay::exchange_message> messages;
-    for (const http_request& request : server_.received()) {
-      constexpr std::size_t most_bytes = 1'000'000;
-      const auto plain = net::inflate(request.body, most_bytes);
-      auto message = relay::decode(plain ? *plain : "");
-      CPPUNIT_ASSERT(message.has_value());
-      messages.push_back(std::move(*message));
-    }
-    return messages;
-  }
-
- private:
-  static asio::awaitable<void> answer_with_nothing(const http_request& /*request*/,
-                                                   net::response_writer& writer) {
-    relay::exchange_message nothing_known;
-    nothing_known.from.vm = "entry-9";
-    nothing_known.from.address = {"127.0.0.1", 1};
-    http_response answer;
-    answer.body = net::deflate(relay::encode(nothing_known));
-    std::ignore = co_await writer.send(std::move(answer));
-  }
-
-  fake_server server_;
-};
-
 // A peer that knows nothing must not wait for its own turn to ask.
 TEST_THAT(gateway, sends_a_peer_what_its_answer_shows_to_be_missing_there) {
   loopback around;
@@ -327,7 +295,7 @@
   const std::size_t before = peer.heard().size();
   world.await([&] { return peer.heard().size() >= before + 20; });
   for (const relay::exchange_message& message : peer.heard()) {
-    CPPUNIT_ASSERT(message.config_revision < unreadable);
+    CPPUNIT_ASSERT(message.config_seen.revision < unreadable);
   }
   world.store().put("op/config", usual_config(2));
   world.await([&] { return peer.heard().back().config_version == 2; });
--- a/tests/gateway/world.cpp
+++ b/tests/gateway/world.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 #include <chrono>
+#include <limits>
 #include <tuple>
 
 #include "hawthornnotch/platform/base64.h"
@@ -56,6 +57,26 @@
   }
 }
 
+std::string entry_text(const std::string& service, const endpoint& address, bool leaving,
+                       std::int64_t born) {
+  return json::serialize(
+      json::object{{"Service", service},
+                   {"Address", address.address + ":" + std::to_string(address.port)},
+                   {"Zone", "zg-istok"},
+                   {"Slots", 8},
+                   {"State", leaving ? "draining" : "ready"},
+                   {"born", born}});
+}
+
+// The server has not run the request.
+http_response refusal(const http_request& request) {
+  http_response response;
+  response.status = 503;
+  response.headers.emplace_back("X-Attempt-Id", request.header("X-Attempt-Id").value_or(""));
+  response.headers.emplace_back("X-Not-Executed", "1");
+  return response;
+}
+
 }  // namespace
 
 loopback::loopback() : work_(asio::make_work_guard(context_)) {
@@ -90,14 +111,14 @@
 
 std::int64_t fake_store::put(const std::string& key, const std::string& value) {
   const std::lock_guard lock(mutex_);
-  items_[key] = {value, ++revision_};
-  return revision_;
+  held_.items[key] = {value, ++held_.revision, 0};
+  return held_.revision;
 }
 
 void fake_store::erase(const std::string& key) {
   const std::lock_guard lock(mutex_);
-  ++revision_;
-  items_.erase(key);
+  ++held_.revision;
+  held_.items.erase(key);
 }
 
 void fake_store::set_away(bool away) {
@@ -105,6 +126,45 @@
   away_ = away;
 }
 
+fake_store::copy fake_store::take_copy() {
+  const std::lock_guard lock(mutex_);
+  return held_;
+}
+
+void fake_store::restore(const copy& older) {
+  const std::lock_guard lock(mutex_);
+  held_ = older;
+  ++era_;
+}
+
+void fake_store::wait_for_lost_history(bool waits) {
+  const std::lock_guard lock(mutex_);
+  waits_for_lost_history_ = waits;
+}
+
+void fake_store::hide_era() {
+  const std::lock_guard lock(mutex_);
+  shows_era_ = false;
+}
+
+std::optional<fake_store::item> fake_store::find(const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  const auto found = held_.items.find(key);
+  return found == held_.items.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::int64_t fake_store::grant_lease() {
+  const std::lock_guard lock(mutex_);
+  held_.leases.insert(++held_.last_lease);
+  return held_.last_lease;
+}
+
+void fake_store::name_era(http_response& response) {
+  if (shows_era_) {
+    response.headers.emplace_back("Store-Era", std::to_string(era_));
+  }
+}
+
 asio::awaitable<void> fake_store::handle(http_request request, net::response_writer& writer) {
   http_response response;
   if (begins_with(request.target, "/api/kv-watch")) {
@@ -121,8 +181,8 @@
   asio::steady_timer timer(co_await asio::this_coro::executor);
   http_response response;
   for (int poll = 0; poll < most_polls; ++poll) {
-    response.body = changes_after(prefix, after);
-    if (!response.body.empty()) {
+    response = changes_after(prefix, after);
+    if (!response.body.empty() || response.status != 200) {
       co_return response;
     }
     timer.expires_after(poll_period);
@@ -132,21 +192,32 @@
   co_return response;
 }
 
-// Empty where there is no change; the history of erased keys is not kept.
-std::string fake_store::changes_after(const std::string& prefix, std::int64_t after) {
+// No body where there is no change; the history of erased keys is not kept.
+http_response fake_store::changes_after(const std::string& prefix, std::int64_t after) {
   const std::lock_guard lock(mutex_);
+  http_response response;
+  name_era(response);
+  if (away_) {
+    response.status = 503;
+    return response;
+  }
+  if (after > held_.revision && !waits_for_lost_history_) {
+    response.status = 410;
+    return response;
+  }
   json::array events;
-  for (const auto& [key, held] : items_) {
-    if (begins_with(key, prefix) && held.revision > after) {
+  for (const auto& [key, stored] : held_.items) {
+    if (begins_with(key, prefix) && stored.revision > after) {
       events.push_back(json::object{{"Key", key},
-                                    {"Value", platform::encode_base64(held.value)},
-                                    {"Revision", held.revision}});
+                                    {"Value", platform::encode_base64(stored.value)},
+                                    {"Revision", stored.revision}});
     }
   }
-  if (events.empty()) {
-    return "";
+  if (!events.empty()) {
+    response.body = json::serialize(
+        json::object{{"events", std::move(events)}, {"CurrentRev", held_.revision}});
   }
-  return json::serialize(json::object{{"events", events}, {"CurrentRev", revision_}});
+  return response;
 }
 
 http_response fake_store::answer(const http_request& request) {
@@ -154,20 +225,59 @@
   http_response response;
   if (away_) {
     response.status = 503;
-    return response;
+  } else if (request.method == "POST") {
+    response = write(request);
+  } else {
+    response = read(request);
   }
-  json::object body{{"CurrentRev", revision_}};
-  if (request.method == "POST") {
-    body["Lease"] = 1;
-    body["TtlMs"] = 12'000;
-    body["Revision"] = ++revision_;
-    response.body = json::serialize(body);
-    return response;
+  name_era(response);
+  return response;
+}
+
+http_response fake_store::write(const http_request& request) {
+  if (begins_with(request.target, "/api/kv-txn")) {
+    return transact(request);
   }
+  http_response response;
+  json::object body{{"TtlMs", 12'000}};
+  if (begins_with(request.target, "/api/kv-keep/")) {
+    const std::int64_t lease = std::stoll(request.target.substr(request.target.rfind('/') + 1));
+    response.status = held_.leases.count(lease) > 0 ? 200 : 404;
+    body["Lease"] = lease;
+  } else {
+    held_.leases.insert(++held_.last_lease);
+    body["Lease"] = held_.last_lease;
+  }
+  response.body = json::serialize(body);
+  return response;
+}
+
+// Conditions are not looked at: no caller in these tests sets any.
+http_response fake_store::transact(const http_request& request) {
+  http_response response;
+  ++held_.revision;
+  const json::value body = json::parse(request.body);
+  for (const json::value& each : body.at("SetKeys").as_array()) {
+    const std::int64_t lease = each.at("Lease").as_int64();
+    if (lease != 0 && held_.leases.count(lease) == 0) {
+      response.status = 404;
+      return response;
+    }
+    const std::string value(each.at("Value").as_string());
+    held_.items[std::string(each.at("Key").as_string())] = {
+        platform::decode_base64(value).value_or(""), held_.revision, lease};
+  }
+  response.body = json::serialize(json::object{{"Revision", held_.revision}});
+  return response;
+}
+
+http_response fake_store::read(const http_request& request) {
+  http_response response;
+  json::object body{{"CurrentRev", held_.revision}};
   if (begins_with(request.target, "/api/kv-key")) {
     const std::string key = query_value(request.target, "Key");
-    const auto found = items_.find(key);
-    if (found == items_.end()) {
+    const auto found = held_.items.find(key);
+    if (found == held_.items.end()) {
       response.status = 404;
     } else {
       body["Key"] = key;
@@ -177,11 +287,11 @@
   } else {
     const std::string prefix = query_value(request.target, "Prefix");
     json::array items;
-    for (const auto& [key, held] : items_) {
+    for (const auto& [key, stored] : held_.items) {
       if (begins_with(key, prefix)) {
         items.push_back(json::object{{"Key", key},
-                                     {"Value", platform::encode_base64(held.value)},
-                                     {"Revision", held.revision}});
+                                     {"Value", platform::encode_base64(stored.value)},
+                                     {"Revision", stored.revision}});
       }
     }
     body["Items"] = std::move(items);
@@ -217,13 +327,8 @@
   return left_;
 }
 
-std::string fake_server::entry(const std::string& service, bool leaving) const {
-  return json::serialize(json::object{{"Service", service},
-                                      {"Address", "127.0.0.1:" + std::to_string(address().port)},
-                                      {"Zone", "zg-istok"},
-                                      {"Slots", 8},
-                                      {"State", leaving ? "draining" : "ready"},
-                                      {"born", 1}});
+std::string fake_server::entry(const std::string& service, bool leaving, std::int64_t born) const {
+  return entry_text(service, address(), leaving, born);
 }
 
 asio::awaitable<void> answer_whole(const http_request& request, net::response_writer& writer) {
@@ -232,6 +337,12 @@
   std::ignore = co_await writer.send(std::move(response));
 }
 
+asio::awaitable<void> answer_slowly(const http_request& request, net::response_writer& writer) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(40));
+  co_await timer.async_wait(asio::use_awaitable);
+  co_await answer_whole(request, writer);
+}
+
 asio::awaitable<void> answer_error(const http_request& request, net::response_writer& writer) {
   http_response response = sealed(request);
   response.status = 500;
@@ -239,10 +350,27 @@
 }
 
 asio::awaitable<void> refuse_unrun(const http_request& request, net::response_writer& writer) {
-  http_response response;
-  response.status = 503;
-  response.headers.emplace_back("X-Attempt-Id", request.header("X-Attempt-Id").value_or(""));
-  response.headers.emplace_back("X-Not-Executed", "1");
+  std::ignore = co_await writer.send(refusal(request));
+}
+
+fake_server::behaviour refuse_for(std::string seconds) {
+  return [seconds = std::move(seconds)](const http_request& request,
+                                        net::response_writer& writer) -> asio::awaitable<void> {
+    http_response response = refusal(request);
+    response.headers.emplace_back("Retry-After", seconds);
+    std::ignore = co_await writer.send(std::move(response));
+  };
+}
+
+asio::awaitable<void> answer_and_leave(const http_request& request, net::response_writer& writer) {
+  http_response response = sealed(request);
+  response.headers.emplace_back("Server-Leaving", "1");
+  std::ignore = co_await writer.send(std::move(response));
+}
+
+asio::awaitable<void> refuse_and_leave(const http_request& request, net::response_writer& writer) {
+  http_response response = refusal(request);
+  response.headers.emplace_back("Server-Leaving", "1");
   std::ignore = co_await writer.send(std::move(response));
 }
 
@@ -300,6 +428,11 @@
   store_.put("servers/" + server.id(), server.entry(service, leaving));
 }
 
+void gateway_world::list(const std::string& id, const std::string& service,
+                         const endpoint& address) {
+  store_.put("servers/" + id, entry_text(service, address, false, 1));
+}
+
 void gateway_world::start(std::vector<endpoint> seeds) {
   launch(std::move(seeds));
   await([this] { return readiness() == 200; });
@@ -349,6 +482,38 @@
   return *answer;
 }
 
+std::uint64_t gateway_world::count_body(http_request request) {
+  net::exchange_limits limits;
+  limits.body_bytes = std::numeric_limits<std::uint64_t>::max();
+  auto opened = around_.await(client_->open(callers(), std::move(request), limits));
+  CPPUNIT_ASSERT(opened.has_value());
+  std::uint64_t count = 0;
+  while (true) {
+    const auto piece = around_.await((*opened)->read());
+    CPPUNIT_ASSERT(piece.has_value());
+    if (piece->empty()) {
+      return count;
+    }
+    count += piece->size();
+  }
+}
+
+void gateway_world::read_often(int requests) {
+  for (int number = 0; number < requests; ++number) {
+    const std::string id = "read-" + std::to_string(++reads_);
+    CPPUNIT_ASSERT_EQUAL(200U, must_answer(make_request("GET", "/read/", id)).status);
+  }
+}
+
+void gateway_world::await_no_work(fake_server& server) {
+  constexpr int in_a_row = 12;
+  await([&] {
+    const std::size_t before = server.received().size();
+    read_often(in_a_row);
+    return server.received().size() == before;
+  });
+}
+
 void gateway_world::call_and_leave(http_request request) {
   net::exchange_limits limits;
   limits.head_timeout = duration{300};
@@ -363,6 +528,13 @@
   return answer->body;
 }
 
+std::optional<double> gateway_world::metric(const std::string& name) {
+  const std::string text = "\n" + metrics_text();
+  const std::size_t at = text.find("\n" + name + " ");
+  return at == std::string::npos ? std::nullopt
+                                 : std::optional(std::stod(text.substr(at + name.size() + 2)));
+}
+
 unsigned gateway_world::readiness() {
   http_request request;
   request.target = "/api/readyz";
--- a/tests/hostile/codecs_test.cpp
+++ b/tests/hostile/codecs_test.cpp
@@ -45,11 +45,12 @@
   message.from.heartbeat = 7;
   message.from.work = {{"s1", 3, 17'000}};
   message.config_version = 12;
-  message.list_revision = 900;
+  message.list_version = {2, 900};
   message.list_id = 1;
   message.list_digest = 2;
   message.paces = {{"s1", 1'700'000'000'000, 12.0, 40.0}};
   message.absences = {{"s9", duration{4'500}}};
+  message.departures = {{"s8", 17, duration{2'500}}};
   message.config = R"({"Version":12})";
   servers::server_entry entry;
   entry.id = "s1";
@@ -145,17 +146,17 @@
     random_source random(text.size());
     gateway::internal::event_splitter in_pieces(std::nullopt);
     std::string joined;
-    bool out_of_order = false;
+    bool broken = false;
     constexpr std::uint64_t longest_piece = 30;
-    for (std::size_t from = 0; from < text.size() && !out_of_order;) {
+    for (std::size_t from = 0; from < text.size() && !broken;) {
       const auto length = static_cast<std::size_t>(1 + random.below(longest_piece));
       const auto batch = in_pieces.take(std::string_view(text).substr(from, length));
       joined += batch.text;
-      out_of_order = batch.out_of_order;
+      broken = batch.broken;
       from += length;
     }
-    CPPUNIT_ASSERT_EQUAL(whole.out_of_order, out_of_order);
-    if (!out_of_order) {
+    CPPUNIT_ASSERT_EQUAL(whole.broken, broken);
+    if (!broken) {
       CPPUNIT_ASSERT_EQUAL(whole.text, joined);
     }
   });
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -12,6 +12,7 @@
 
 #include "hawthornnotch/net/http_client.h"
 #include "hawthornnotch/net/http_server.h"
+#include "raw_server.h"
 #include "test_case.h"
 
 namespace hawthornnotch::net {
@@ -254,5 +255,70 @@
   seen.get_future().get();
 }
 
+http_request get() { return {"GET", "/", {}, ""}; }
+
+TEST_THAT(http_client, skips_interim_answers_before_the_final_one) {
+  test::raw_server server([](test::raw_connection& peer) {
+    peer.read_head();
+    peer.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+               "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  running_context running;
+  auto client = http_client::create(4);
+  const auto answer = running.await(client->fetch(server.address(), get(), {}));
+  CPPUNIT_ASSERT(answer.has_value());
+  CPPUNIT_ASSERT_EQUAL(std::string("ok"), answer->body);
+}
+
+TEST_THAT(http_client, ends_a_whole_answer_that_trickles_beyond_its_time) {
+  test::raw_server server([](test::raw_connection& peer) {
+    if (!peer.read_head().empty() && peer.write("HTTP/1.1 200 OK\r\n\r\n")) {
+      peer.trickle_without_end("a");
+    }
+  });
+  running_context running;
+  auto client = http_client::create(4);
+  exchange_limits limits;
+  limits.whole_timeout = duration{300};
+  const auto answer = running.await(client->fetch(server.address(), get(), limits));
+  CPPUNIT_ASSERT(!answer.has_value());
+  CPPUNIT_ASSERT(answer.last_reason().kind == net_failure_kind::timed_out);
+}
+
+// The answer to the request itself may come at any time: to whom the connection is given next.
+TEST_THAT(http_client, keeps_no_connection_on_which_only_answers_to_others_came) {
+  test::raw_server server([](test::raw_connection& peer) {
+    while (!peer.read_head().empty()) {
+      constexpr int answers = 5;
+      for (int answer = 0; answer < answers; ++answer) {
+        peer.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
+      }
+    }
+  });
+  running_context running;
+  auto client = http_client::create(4);
+  exchange_limits limits;
+  limits.is_expected = [](const http_response&) { return false; };
+  CPPUNIT_ASSERT(!running.await(client->fetch(server.address(), get(), limits)).has_value());
+  CPPUNIT_ASSERT(!running.await(client->fetch(server.address(), get(), limits)).has_value());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections());
+}
+
+// A caller whose chunk extension never ends.
+TEST_THAT(http_server, holds_little_of_a_request_without_end) {
+  running_context running;
+  auto server = serve(running, {}, echo);
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({asio::ip::address_v4::loopback(), server->port()});
+  test::raw_connection caller(std::move(socket));
+  test::memory_watch memory;
+  caller.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5;a=");
+  CPPUNIT_ASSERT(caller.write_without_end("aaaaaaaa"));
+  memory.look();
+  constexpr std::uint64_t most_growth_bytes = 32ULL * 1024 * 1024;
+  CPPUNIT_ASSERT(memory.growth() < most_growth_bytes);
+}
+
 }  // namespace
 }  // namespace hawthornnotch::net
--- a/tests/relay/fleet_model.cpp
+++ b/tests/relay/fleet_model.cpp
@@ -96,7 +96,7 @@
   exchange_message message;
   message.from = from.peers.beat({});
   message.config_id = from.seen.id;
-  message.config_revision = from.seen.revision;
+  message.config_seen = from.seen.version;
   message.config_age = now_ - from.seen.at;
   message.peers = from.peers.some_peers(now_, from.random);
   return message;
@@ -104,14 +104,14 @@
 
 void fleet_model::take(model_vm& to, const exchange_message& message) {
   to.peers.heard(message, now_);
-  take_newer(to.seen, {message.config_id, message.config_revision, now_ - message.config_age});
+  take_newer(to.seen, {message.config_id, message.config_seen, now_ - message.config_age});
 }
 
 bool fleet_model::answers(std::size_t vm) const { return !away_ && !(refused_ && refused_(vm)); }
 
 void fleet_model::call_if_due(std::size_t vm) {
   model_vm& caller = vms_[vm];
-  const bool known = caller.seen.revision != 0;
+  const bool known = caller.seen.version.revision != 0;
   const auto age = known ? std::optional(now_ - caller.seen.at) : std::nullopt;
   if (!caller.schedule.due(age, caller.seen.id, caller.peers.position(now_), now_)) {
     return;
@@ -137,7 +137,7 @@
     caller.schedule.failed_now(caller.peers.position(now_), caller.random.unit(), now_);
     return;
   }
-  const confirmation seen{caller.random.engine()(), revision_, now_};
+  const confirmation seen{caller.random.engine()(), {1, revision_}, now_};
   caller.schedule.succeeded(caller.seen.id, seen.id, false);
   take_newer(caller.seen, seen);
 }
@@ -145,7 +145,7 @@
 std::optional<duration> fleet_model::greatest_age() const {
   duration greatest;
   for (const model_vm& vm : vms_) {
-    if (vm.up && vm.seen.revision == 0) {
+    if (vm.up && vm.seen.version.revision == 0) {
       return std::nullopt;
     }
     greatest = vm.up ? std::max(greatest, now_ - vm.seen.at) : greatest;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -36,15 +36,16 @@
   exchange_message message = message_from(make_peer("a", 77));
   message.config_version = 12;
   message.config_id = 0xFFFF'FFFF'FFFF'FFFFULL;
-  message.config_revision = 899;
+  message.config_seen = {3, 899};
   message.config_age = 130_ms;
-  message.list_revision = 900;
+  message.list_version = {4, 900};
   message.list_id = 0x0123'4567'89AB'CDEFULL;
   message.list_age = 250_ms;
   message.list_digest = 0xFEDC'BA98'7654'3210ULL;
   message.from.work = {{"s1", 3, 17'000, 2}};
   message.paces = {{"s1", 1'700'000'000'000, 12.0, 40.0}};
   message.absences = {{"s9", duration{4'500}}};
+  message.departures = {{"s8", 17, duration{2'500}}};
   message.peers = {make_peer("b")};
   message.config = R"({"Version":12})";
   servers::server_entry entry;
@@ -59,7 +60,11 @@
   CPPUNIT_ASSERT(decoded.has_value());
   CPPUNIT_ASSERT_EQUAL(message.from.heartbeat, decoded->from.heartbeat);
   CPPUNIT_ASSERT_EQUAL(message.config_id, decoded->config_id);
-  CPPUNIT_ASSERT_EQUAL(message.config_revision, decoded->config_revision);
+  CPPUNIT_ASSERT(message.config_seen == decoded->config_seen);
+  CPPUNIT_ASSERT(message.list_version == decoded->list_version);
+  CPPUNIT_ASSERT_EQUAL(std::string("s8"), decoded->departures.at(0).server);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{17}, decoded->departures.at(0).born_ms);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{2'500}, decoded->departures.at(0).remaining.ms);
   CPPUNIT_ASSERT_EQUAL(message.config_age.ms, decoded->config_age.ms);
   CPPUNIT_ASSERT_EQUAL(message.list_id, decoded->list_id);
   CPPUNIT_ASSERT_EQUAL(message.list_digest, decoded->list_digest);
@@ -73,6 +78,18 @@
   CPPUNIT_ASSERT(decoded->list->front() == entry);
 }
 
+TEST_THAT(exchange, is_read_where_the_sender_knows_of_no_eras) {
+  exchange_message message = message_from(make_peer("a"));
+  message.config_seen = {0, 899};
+  message.list_version = {0, 900};
+  const std::string text = encode(message);
+  CPPUNIT_ASSERT(text.find("era") == std::string::npos);
+  CPPUNIT_ASSERT(text.find("departures") == std::string::npos);
+  const auto decoded = decode(text);
+  CPPUNIT_ASSERT(decoded.has_value());
+  CPPUNIT_ASSERT(decoded->list_version == message.list_version);
+}
+
 TEST_THAT(exchange, refuses_what_it_did_not_write) {
   CPPUNIT_ASSERT(!decode(""));
   CPPUNIT_ASSERT(!decode("[]"));
--- /dev/null
+++ b/tests/support/raw_server.cpp
@@ -0,0 +1,142 @@
+#include "raw_server.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <fstream>
+
+namespace hawthornnotch::test {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// A peer that takes more than this has no bound, in bytes.
+constexpr std::uint64_t most_written = 256ULL * 1024 * 1024;
+constexpr auto trickle_pause = std::chrono::milliseconds(20);
+constexpr int most_trickles = 400;
+
+}  // namespace
+
+std::string raw_connection::read_head() {
+  constexpr std::string_view end_of_head = "\r\n\r\n";
+  error_code error;
+  const std::size_t length =
+      asio::read_until(socket_, asio::dynamic_buffer(unread_), end_of_head, error);
+  if (error) {
+    return "";
+  }
+  std::string head = unread_.substr(0, length);
+  unread_.erase(0, length);
+  return head;
+}
+
+bool raw_connection::write(std::string_view bytes) {
+  error_code error;
+  asio::write(socket_, asio::buffer(bytes.data(), bytes.size()), error);
+  return !error;
+}
+
+bool raw_connection::write_without_end(std::string_view bytes) {
+  constexpr std::size_t block_bytes = 64 * 1024;
+  std::string block;
+  while (block.size() < block_bytes) {
+    block += bytes;
+  }
+  for (std::uint64_t written = 0; written < most_written; written += block.size()) {
+    if (!write(block)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool raw_connection::trickle_without_end(std::string_view bytes) {
+  for (int number = 0; number < most_trickles; ++number) {
+    if (!write(bytes)) {
+      return true;
+    }
+    std::this_thread::sleep_for(trickle_pause);
+  }
+  return false;
+}
+
+void raw_connection::close() {
+  error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+std::string header_in(const std::string& head, const std::string& name) {
+  const std::size_t at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos) {
+    return "";
+  }
+  const std::size_t from = at + name.size() + 4;
+  return head.substr(from, head.find("\r\n", from) - from);
+}
+
+raw_server::raw_server(script what)
+    : script_(std::move(what)),
+      acceptor_(context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      accepting_([this] { accept(); }) {}
+
+raw_server::~raw_server() {
+  stopping_ = true;
+  // Wakes the thread that waits for a connection.
+  tcp::socket last(context_);
+  error_code ignored;
+  last.connect(acceptor_.local_endpoint(), ignored);
+  accepting_.join();
+  {
+    const std::lock_guard lock(mutex_);
+    for (raw_connection& each : connections_) {
+      each.close();
+    }
+  }
+  for (std::thread& each : threads_) {
+    each.join();
+  }
+}
+
+void raw_server::accept() {
+  while (true) {
+    error_code error;
+    tcp::socket socket(context_);
+    acceptor_.accept(socket, error);
+    if (stopping_ || error) {
+      return;
+    }
+    const std::lock_guard lock(mutex_);
+    raw_connection& accepted = connections_.emplace_back(std::move(socket));
+    threads_.emplace_back([this, &accepted] {
+      script_(accepted);
+      accepted.close();
+    });
+  }
+}
+
+endpoint raw_server::address() const {
+  return {"127.0.0.1", acceptor_.local_endpoint().port()};
+}
+
+std::size_t raw_server::connections() {
+  const std::lock_guard lock(mutex_);
+  return connections_.size();
+}
+
+std::uint64_t memory_watch::resident_bytes() {
+  std::ifstream file("/proc/self/statm");
+  std::uint64_t whole = 0;
+  std::uint64_t resident = 0;
+  file >> whole >> resident;
+  return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+void memory_watch::look() { most_ = std::max(most_, resident_bytes()); }
+
+}  // namespace hawthornnotch::test
