Keep servers for streams in fleets of any size

Test: 87 entry VMs with unlike counts of streams send under a tenth of the streams to servers that read long prompts. The former test of large fleets without kept servers shows the same placement where prompts wait long.

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -36,8 +36,6 @@
   duration target_gap;
   /// True for a stream whose caller bears shorter pauses than long prompts beside it cause.
   bool pause_sensitive = false;
-  /// Live entry VMs, this one included.
-  std::size_t entry_vms = 1;
   /// Events that the answer probably has; 0 where nothing is known.
   double expected_events = 0;
   /// Time until the request is given up.
--- a/include/hawthornnotch/platform/store_version.h
+++ b/include/hawthornnotch/platform/store_version.h
@@ -3,8 +3,8 @@
 #ifndef HAWTHORNNOTCH_PLATFORM_STORE_VERSION_H_
 #define HAWTHORNNOTCH_PLATFORM_STORE_VERSION_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace hawthornnotch::platform {
 
@@ -17,7 +17,11 @@
   std::int64_t era = 0;
   /// 0 for no point at all.
   std::int64_t revision = 0;
-  auto operator<=>(const store_version&) const = default;
+  bool operator==(const store_version&) const = default;
+  bool operator<(const store_version& other) const {
+    return std::tie(era, revision) < std::tie(other.era, other.revision);
+  }
+  bool operator>(const store_version& other) const { return other < *this; }
 };
 
 }  // namespace hawthornnotch::platform
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -218,7 +218,7 @@
   load.waiting_tokens.add(mean_waiting, 1.0, query.now);
   const double waiting_ms = load.waiting_tokens.value() / tokens_per_ms_;
   const std::size_t kept =
-      internal::keep_for_streams(candidates, {load.streams.value(), waiting_ms, query.entry_vms});
+      internal::keep_for_streams(candidates, {load.streams.value(), waiting_ms});
   internal::rank_by_rendezvous(candidates, shared_prefix(query.prefixes).hash,
                                query.pause_sensitive && kept > 0);
 }
--- a/src/dispatch/stream_reserve.cpp
+++ b/src/dispatch/stream_reserve.cpp
@@ -17,8 +17,6 @@
 /// From the first time of waiting prompts on fewer servers are kept, from the second on none.
 constexpr double shrinking_from_ms = 300.0;
 constexpr double none_from_ms = 800.0;
-/// With more entry VMs no server is kept: all must agree on the streams that run in the fleet.
-constexpr std::size_t most_entry_vms = 32;
 /// Most servers that are kept, as a part of all.
 constexpr double most_kept = 0.3;
 /// With fewer servers none can be spared.
@@ -32,8 +30,7 @@
 }  // namespace
 
 std::size_t reserve_size(const fleet_load& load, std::size_t servers, double slots) {
-  const bool possible = servers >= least_servers && load.entry_vms <= most_entry_vms;
-  if (!possible || load.streams <= 0 || slots <= 0) {
+  if (servers < least_servers || load.streams <= 0 || slots <= 0) {
     return 0;
   }
   const double needed = std::ceil(load.streams / std::min(slots * usual_fill, usual_streams));
--- a/src/dispatch/stream_reserve.h
+++ b/src/dispatch/stream_reserve.h
@@ -15,8 +15,6 @@
   double streams = 0;
   // Time that the prompts waiting at a server take it, in the mean, in ms.
   double waiting_ms = 0;
-  // Live entry VMs.
-  std::size_t entry_vms = 1;
 };
 
 // Marks the candidates that are kept for pause-sensitive streams.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -162,7 +162,6 @@
     query.target_latency = route_->target_latency;
     query.target_gap = route_->target_gap;
     query.pause_sensitive = table_->is_pause_sensitive(*route_);
-    query.entry_vms = shared_.peers.live_count(shared_.time.now());
     query.expected_events = expected_events_;
     query.time_left = left();
     query.tried = tried_;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -52,9 +52,9 @@
   }
 
   // A short prompt whose caller bears only short pauses.
-  placement choose_stream(dispatcher& at, std::uint64_t request, std::size_t entry_vms = 2) const {
+  placement choose_stream(dispatcher& at, std::uint64_t request) const {
     const auto prefixes = short_prompt(request);
-    return must_choose(at, stream_query(prefixes, entry_vms));
+    return must_choose(at, stream_query(prefixes));
   }
 
   placement_query query_for(const std::vector<prompt_prefix>& prefixes) const {
@@ -67,13 +67,11 @@
     return query;
   }
 
-  placement_query stream_query(const std::vector<prompt_prefix>& prefixes,
-                               std::size_t entry_vms) const {
+  placement_query stream_query(const std::vector<prompt_prefix>& prefixes) const {
     placement_query query = query_for(prefixes);
     query.target_latency = 1_s;
     query.target_gap = 250_ms;
     query.pause_sensitive = true;
-    query.entry_vms = entry_vms;
     query.time_left = 15_s;
     return query;
   }
@@ -476,21 +474,44 @@
   CPPUNIT_ASSERT(spilled);
 }
 
-// Hundreds of entry VMs keep no servers: those that hold a shared part take its streams, as without
-// a reserve.
+// While prompts wait long, those that hold a shared part take its streams, as without a reserve.
 TEST_THAT(dispatcher, goes_by_shared_parts_where_no_server_is_kept_for_streams) {
   fleet_case fleet(40);
   dispatcher entry(fleet.list, "zg-istok", 1);
   (void)fleet.choose(entry, prompt_about(1, 1));
-  fleet.tell_work(entry, 2, 2'000);
-  constexpr std::size_t many = 300;
+  fleet.tell_work(entry, 2, 80'000);
   for (std::uint64_t request = 1; request <= 50; ++request) {
-    const placement chosen = fleet.choose_stream(entry, request, many);
+    const placement chosen = fleet.choose_stream(entry, request);
     CPPUNIT_ASSERT(!chosen.kept_for_streams);
     CPPUNIT_ASSERT_EQUAL(0U, chosen.rank);
   }
 }
 
+// Each entry VM of a large fleet has another, roughly right count of the streams that run.
+TEST_THAT(dispatcher, keeps_nearly_the_same_servers_in_a_large_fleet_of_entry_vms) {
+  constexpr std::size_t entry_vms = 87;
+  constexpr std::uint32_t streams_at_a_server = 5;
+  fleet_case fleet(140);
+  random_source random(1);
+  std::map<std::string, std::size_t> streams;
+  std::map<std::string, std::size_t> prompts;
+  for (std::size_t vm = 0; vm < entry_vms; ++vm) {
+    dispatcher entry(fleet.list, "zg-istok", vm);
+    (void)fleet.choose(entry, prompt_about(1, 1));
+    fleet.tell_work(entry, streams_at_a_server + static_cast<std::uint32_t>(random.below(2)),
+                    2'000);
+    for (std::uint64_t request = 1; request <= 20; ++request) {
+      ++streams[fleet.choose_stream(entry, vm * 100 + request).server.id];
+      ++prompts[fleet.choose(entry, prompt_about(vm * 100 + request, request)).server.id];
+    }
+  }
+  std::size_t disturbed = 0;
+  for (const auto& [server, count] : streams) {
+    disturbed += prompts.count(server) > 0 ? count : 0;
+  }
+  CPPUNIT_ASSERT(disturbed * 10 <= entry_vms * 20);
+}
+
 TEST_THAT(dispatcher, counts_the_streams_of_each_service_by_itself) {
   fleet_case fleet(40);
   servers::list_reading reading = *fleet.list.newest();
@@ -507,7 +528,7 @@
   fleet.tell_work(entry, 2, 2'000);
   (void)fleet.choose_stream(entry, 1);
   const auto prefixes = fleet_case::short_prompt(1);
-  placement_query query = fleet.stream_query(prefixes, 2);
+  placement_query query = fleet.stream_query(prefixes);
   query.service = "other";
   CPPUNIT_ASSERT(!entry.choose(query)->kept_for_streams);
   CPPUNIT_ASSERT(fleet.choose_stream(entry, 2).kept_for_streams);
