--- a/tests/gateway/store_restore_test.cpp
+++ b/tests/gateway/store_restore_test.cpp
@@ -160,6 +160,20 @@
   world.await([&] { return world.metric("hawthornnotch_config_version") == 2.0; });
 }
 
+TEST_THAT(store_restore, may_come_while_a_process_starts) {
+  gateway_world world;
+  world.add_server("s1", "stations", answer_whole);
+  const fake_store::copy older = world.store().take_copy();
+  make_history(world.store());
+  world.start_before_the_store();
+  world.await([&] { return world.metric("hawthornnotch_store_era") == 1.0; });
+  world.store().restore(older);
+  world.store().set_away(false);
+  world.await([&] { return world.readiness() == 200; });
+  world.read_often(1);
+  CPPUNIT_ASSERT(world.metric("hawthornnotch_store_era") == 2.0);
+}
+
 TEST_THAT(store_restore, is_not_assumed_where_the_store_does_not_name_its_era) {
   gateway_world world;
   fake_server& leaving = world.add_server("s1", "stations", answer_whole);
--- a/tests/hostile/codecs_test.cpp
+++ b/tests/hostile/codecs_test.cpp
@@ -1,19 +1,25 @@
 // Readers of bytes from outside, on damaged input: each refuses, or what it takes holds
 // together. The address sanitizer sees what a test without it does not.
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
+#include <iterator>
+#include <mutex>
 #include <thread>
 #include <tuple>
 
 #include "gateway/event_splitter.h"
 #include "hawthornnotch/net/deflate.h"
+#include "hawthornnotch/net/http_client.h"
 #include "hawthornnotch/net/http_server.h"
 #include "hawthornnotch/relay/exchange.h"
 #include "hawthornnotch/routes/route_table.h"
 #include "mutation.h"
 #include "platform/wire_protocol.h"
+#include "raw_server.h"
 #include "test_case.h"
 
 namespace hawthornnotch {
@@ -204,5 +210,59 @@
   CPPUNIT_ASSERT_MESSAGE(last, last.find("200 OK") != std::string::npos);
 }
 
+// Whole answers of the kinds that a server in trouble may damage.
+const std::string answers[] = {
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 4\r\n\r\nbody",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nbo\r\n2\r\ndy\r\n0\r\nT: "
+    "a\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody",
+    "HTTP/1.1 503 No\r\nRetry-After: 1.5\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n",
+};
+
+// Each connection gets the next damaged answer.
+class damaging_server {
+ public:
+  explicit damaging_server(std::uint64_t seed)
+      : random_(seed), server_([this](test::raw_connection& peer) {
+          if (!peer.read_head().empty()) {
+            peer.write(next());
+          }
+        }) {}
+  [[nodiscard]] endpoint address() const { return server_.address(); }
+
+ private:
+  std::string next() {
+    const std::lock_guard lock(mutex_);
+    return test::mutated(answers[random_.below(std::size(answers))], random_);
+  }
+
+  std::mutex mutex_;
+  random_source random_;
+  test::raw_server server_;
+};
+
+TEST_THAT(hostile, damaged_answers_end_the_exchange_within_its_bounds) {
+  constexpr int answers_by_seed = 150;
+  constexpr std::uint64_t most_body_bytes = 1'000;
+  for (const std::uint64_t seed : seeds) {
+    damaging_server server(seed);
+    asio::io_context context;
+    const auto client = net::http_client::create(2);
+    net::exchange_limits limits;
+    limits.head_timeout = duration{2'000};
+    limits.whole_timeout = duration{2'000};
+    limits.body_bytes = most_body_bytes;
+    limits.reuse_connection = false;
+    for (int answer = 0; answer < answers_by_seed; ++answer) {
+      auto fetched =
+          asio::co_spawn(context, client->fetch(server.address(), {}, limits), asio::use_future);
+      context.restart();
+      context.run();
+      const auto got = fetched.get();
+      CPPUNIT_ASSERT(!got || got->body.size() <= most_body_bytes);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace hawthornnotch
