--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -436,19 +436,24 @@
 }
 
 void gateway_fixture::start(std::vector<endpoint> seeds) {
-  launch(std::move(seeds));
+  std::string vm = seeds.empty() ? "entry-1" : "entry-2";
+  start_vm(std::move(vm), std::move(seeds));
+}
+
+void gateway_fixture::start_vm(std::string vm, std::vector<endpoint> seeds) {
+  launch(std::move(vm), std::move(seeds));
   await([this] { return readiness() == 200; });
 }
 
 void gateway_fixture::start_without_store() {
   startup_hold_ = duration{20'000};
   store_.set_unavailable(true);
-  launch({});
+  launch("entry-1", {});
 }
 
-void gateway_fixture::launch(std::vector<endpoint> seeds) {
+void gateway_fixture::launch(std::string vm, std::vector<endpoint> seeds) {
   gateway::gateway_settings settings;
-  settings.vm = seeds.empty() ? "entry-1" : "entry-2";
+  settings.vm = std::move(vm);
   settings.seeds = std::move(seeds);
   settings.failure_domain = "zg-istok";
   const endpoint any_port{"127.0.0.1", 0};
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -176,6 +176,8 @@
   void list(const std::string& id, const std::string& service, const endpoint& address);
   // Starts the gateway and waits until it is ready.
   void start(std::vector<endpoint> seeds = {});
+  // As `start`, under a VM name of its own, for fleets of more than two.
+  void start_vm(std::string vm, std::vector<endpoint> seeds);
   // Starts the gateway while the store is unavailable; requests wait for the store.
   void start_without_store();
   // Starts the gateway with an empty retry budget and waits until it is ready.
@@ -211,7 +213,7 @@
   fake_store store_;
   std::unique_ptr<net::http_client> client_;
   std::vector<std::unique_ptr<fake_server>> servers_;
-  void launch(std::vector<endpoint> seeds);
+  void launch(std::string vm, std::vector<endpoint> seeds);
 
   dispatch::retry_budget_settings retries_;
   duration startup_hold_{400};
