Keep the limit that a server names for all entry VMs together

Cause: a server's notice was dropped unread. Server-Limit was in no list of the decoded response headers, and nothing in the gateway could hold a sum over VMs. Ruled out: retries (all sends first sends), and a limit kept by each VM for itself (one VM alone broke it). The header is decoded into a typed notice; the time of each limited server is divided into slots that are each owned by one VM, by rendezvous hash over the VMs known, on a clock that the VMs share by gossip. Every attempt passes begin_attempt, which takes a permit; a limit learned while the connection is made is checked before the first byte. Messages with limits go only to peers that announce that they know them. Log: server_limit, request_held_back, fields of request_sent; metrics of limits and of requests held back.

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -15,6 +15,7 @@
 #include "hawthornnotch/base/random.h"
 #include "hawthornnotch/base/result.h"
 #include "hawthornnotch/dispatch/prompt.h"
+#include "hawthornnotch/dispatch/server_limits.h"
 #include "hawthornnotch/dispatch/server_state.h"
 #include "hawthornnotch/relay/exchange.h"
 #include "hawthornnotch/servers/server_list.h"
@@ -66,6 +67,8 @@
   std::uint32_t running = 0;
   /// Number of servers compared.
   std::uint32_t candidates = 0;
+  /// Number of servers passed over, because they name a limit and this VM has no permit now.
+  std::uint32_t at_limit = 0;
 };
 
 enum class placement_failure : std::uint8_t {
@@ -73,7 +76,7 @@
   no_server,
   /// Every server that could take the request was already tried.
   all_tried,
-  /// Every available server has asked for a pause.
+  /// Every available server has asked for a pause or names a limit that is used up.
   all_paused,
 };
 
@@ -88,6 +91,8 @@
   time_point last_event_at;
   bool first_event_seen = false;
   bool gap_sensitive = false;
+  /// Whether this VM's part of the server's limit allowed the attempt when it began.
+  permit allowance = permit::unlimited;
 };
 
 /// Connection outcomes of one failure domain.  When a network partition cuts the domain off, all
@@ -154,11 +159,15 @@
   void end_attempt(const attempt& tracked, attempt_end end, time_point now);
   /// Records that the server asked this VM to send it no requests for `time`.
   void pause(const attempt& tracked, duration time, time_point now);
+  /// \returns whether the request may be sent now that the connection is open: the server still
+  /// accepts requests, and a limit that it has named meanwhile allows one more.
+  [[nodiscard]] bool may_send(attempt& tracked, const servers::server_entry& server,
+                              time_point now);
   /// \returns whether a previously chosen server still accepts requests: the incarnation is listed,
   /// is not leaving and has not asked for a pause.
   [[nodiscard]] bool accepts_requests(const servers::server_entry& server, time_point now) const;
-  /// \returns the time until the first paused server of a service accepts requests again; none if
-  /// no server is paused.
+  /// \returns the time until the first paused or limited server of a service accepts requests
+  /// again; none if there is no such server.
   [[nodiscard]] std::optional<duration> shortest_remaining_pause(std::string_view service,
                                                                  time_point now) const;
   /// Replaces the known work of other entry VMs, by server id.
@@ -178,6 +187,8 @@
   /// \returns the requests of this process running on each server, for gossip.
   [[nodiscard]] std::vector<relay::server_work> local_work() const;
   [[nodiscard]] std::vector<server_summary> summary(time_point now) const;
+  /// \returns the limits that servers name for all entry VMs together.
+  [[nodiscard]] server_limits& limits() { return limits_; }
 
  private:
   server_state& state_of(const servers::server_entry& server);
@@ -190,7 +201,9 @@
   [[nodiscard]] bool avoided(const servers::server_entry& server, const server_state& state,
                              time_point now) const;
   /// \returns the servers of the query's service that accept requests now, not ranked yet.
-  std::vector<internal::candidate> candidates_for(const placement_query& query);
+  /// \param at_limit is increased by the number of servers whose limit is used up.
+  std::vector<internal::candidate> candidates_for(const placement_query& query,
+                                                  std::uint32_t& at_limit);
   void score_engine(const placement_query& query, const internal::candidate& at, double fleet_gap,
                     placement& out) const;
   void score_service(const placement_query& query, const internal::candidate& at,
@@ -214,6 +227,7 @@
   std::string failure_domain_;
   random_source random_;
   std::map<std::string, server_state, std::less<>> states_;
+  server_limits limits_;
   /// By failure domain.
   std::map<std::string, domain_reachability, std::less<>> domains_;
   /// The last server that `local_paces` visited.
--- a/include/hawthornnotch/gateway/protocol.h
+++ b/include/hawthornnotch/gateway/protocol.h
@@ -14,6 +14,7 @@
 #include "hawthornnotch/dispatch/server_state.h"
 #include "hawthornnotch/net/http_message.h"
 #include "hawthornnotch/routes/routing_config.h"
+#include "hawthornnotch/servers/rate_limit.h"
 #include "hawthornnotch/servers/server_entry.h"
 
 namespace hawthornnotch::gateway {
@@ -64,6 +65,8 @@
   bool leaving = false;
   /// How long the server asks this VM to send it no requests; none if it does not ask.
   std::optional<duration> pause;
+  /// What the answer says of the rate of requests that the server takes from all VMs together.
+  servers::limit_notice limit;
   /// True if an intermediary changed the body, e.g. its encoding.
   bool body_transformed = false;
   /// Load that the server reports, if it does.
--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -12,6 +12,7 @@
 #include "hawthornnotch/base/clock.h"
 #include "hawthornnotch/base/result.h"
 #include "hawthornnotch/member/fleet.h"
+#include "hawthornnotch/servers/rate_limit.h"
 #include "hawthornnotch/servers/server_list.h"
 
 namespace hawthornnotch::relay {
@@ -82,6 +83,10 @@
   std::vector<server_absence> absences;
   /// Servers that announced to the sender, or to the peers it heard from, that they are leaving.
   std::vector<servers::departure> departures;
+  /// The sender's reading of the fleet clock; 0 if it does not send one.
+  time_point fleet_time;
+  /// A sample of the limits that servers name, and of those that have ended.
+  std::vector<servers::rate_limit> limits;
   /// A sample of the other entry VMs, in the sender's last known state.
   std::vector<peer> peers;
   /// Configuration in the platform's format; set if the receiver is known to have an older one.
--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -78,6 +78,9 @@
   [[nodiscard]] std::vector<endpoint> peers_to_notify(time_point now, random_source& random) const;
   /// \returns the number of live entry VMs, this one included; never 0.
   [[nodiscard]] std::size_t live_count(time_point now) const;
+  /// \returns the hashes of the names of all other entry VMs that are remembered, dead ones
+  /// included: a dead VM cannot be told from one that is cut off and still sends requests.
+  [[nodiscard]] std::vector<std::uint64_t> known_hashes() const;
   /// \returns the peers that became alive or dead since the last call.
   [[nodiscard]] peer_changes take_changes(time_point now);
   /// \returns the rank of this entry VM in the order in which live VMs read the store.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -144,19 +144,26 @@
   return slowness / prefill_tokens_per_ms_;
 }
 
-std::vector<internal::candidate> dispatcher::candidates_for(const placement_query& query) {
+std::vector<internal::candidate> dispatcher::candidates_for(const placement_query& query,
+                                                            std::uint32_t& at_limit) {
   std::vector<internal::candidate> out;
   for (const servers::server_entry* server : list_.serving(query.service)) {
     const server_state& state = state_of(*server);
-    if (!state.pause.is_active(query.now)) {
-      out.push_back({server, &state, avoided(*server, state, query.now)});
+    if (state.pause.is_active(query.now)) {
+      continue;
+    }
+    if (!limits_.has_permit({server->id, server->start_time_ms}, query.now)) {
+      ++at_limit;
+      continue;
     }
+    out.push_back({server, &state, avoided(*server, state, query.now)});
   }
   return out;
 }
 
 result<placement, placement_failure> dispatcher::choose(const placement_query& query) {
-  std::vector<internal::candidate> candidates = candidates_for(query);
+  std::uint32_t at_limit = 0;
+  std::vector<internal::candidate> candidates = candidates_for(query, at_limit);
   if (candidates.empty()) {
     const bool paused = !list_.serving(query.service).empty();
     return failed{paused ? placement_failure::all_paused : placement_failure::no_server};
@@ -199,6 +206,7 @@
   }
   best.server = *chosen->server;
   best.candidates = static_cast<std::uint32_t>(candidates.size());
+  best.at_limit = at_limit;
   return best;
 }
 
@@ -306,6 +314,7 @@
     const bool unlisted = list_.find(each->first) == nullptr && state.running == 0;
     each = unlisted && !state.pause.is_active(now) ? states_.erase(each) : std::next(each);
   }
+  limits_.drop_expired([this](std::string_view id) { return list_.find(id) != nullptr; }, now);
 }
 
 std::vector<server_summary> dispatcher::summary(time_point now) const {
--- a/src/dispatch/dispatcher_outcomes.cpp
+++ b/src/dispatch/dispatcher_outcomes.cpp
@@ -33,6 +33,7 @@
   out.gap_sensitive = chosen.gap_sensitive;
   out.sent_at = now;
   out.last_event_at = now;
+  out.allowance = limits_.take({out.server, out.start_time_ms}, now);
   return out;
 }
 
@@ -113,6 +114,16 @@
   }
 }
 
+bool dispatcher::may_send(attempt& tracked, const servers::server_entry& server, time_point now) {
+  if (!accepts_requests(server, now)) {
+    return false;
+  }
+  if (tracked.allowance != permit::taken) {
+    tracked.allowance = limits_.take({server.id, server.start_time_ms}, now);
+  }
+  return tracked.allowance != permit::none;
+}
+
 bool dispatcher::accepts_requests(const servers::server_entry& server, time_point now) const {
   const servers::server_entry* listed = list_.find(server.id);
   if (listed == nullptr || listed->leaving || listed->start_time_ms != server.start_time_ms) {
@@ -127,11 +138,12 @@
   std::optional<duration> first;
   for (const servers::server_entry* server : list_.serving(service)) {
     const auto state = states_.find(server->id);
-    if (state == states_.end() || !state->second.pause.is_active(now)) {
-      continue;
+    const bool paused = state != states_.end() && state->second.pause.is_active(now);
+    const auto remaining = paused ? std::optional(state->second.pause.remaining(now))
+                                  : limits_.slot_length({server->id, server->start_time_ms});
+    if (remaining) {
+      first = first ? std::min(*first, *remaining) : *remaining;
     }
-    const duration remaining = state->second.pause.remaining(now);
-    first = first ? std::min(*first, remaining) : remaining;
   }
   return first;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "hawthornnotch/base/hash.h"
 #include "hawthornnotch/net/http_server.h"
 #include "hawthornnotch/observe/log.h"
+#include "limit_events.h"
 #include "peer_link.h"
 #include "proxied_request.h"
 #include "store_registration.h"
@@ -73,6 +74,7 @@
         link_(shared_, updater_, context_.get_executor()),
         stop_timer_(context_) {
     shared_.http = net::http_client::create(idle_connection_limits());
+    shared_.dispatcher.limits().start(shared_.settings.vm, shared_.time.now());
   }
 
   status<net::net_failure> listen(const store_factory& make_store) {
@@ -203,6 +205,7 @@
     shown.gauge("hawthornnotch_list_age_ms", {}, age ? static_cast<double>(age->ms) : -1.0);
     shown.gauge("hawthornnotch_live_entry_vms", {},
                 static_cast<double>(shared_.peers.live_count(now)));
+    update_limit_gauges(shared_, now);
     shown.gauge("hawthornnotch_open_requests", {}, static_cast<double>(callers_->open_requests()));
     shown.gauge("hawthornnotch_open_connections", {},
                 static_cast<double>(callers_->open_connections()));
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -9,6 +9,7 @@
 
 #include "hawthornnotch/net/deflate.h"
 #include "hawthornnotch/observe/log.h"
+#include "limit_events.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -25,7 +26,16 @@
 constexpr std::uint64_t max_message_bytes = 16 * 1024 * 1024;
 /// Number of servers whose speed one message reports; later messages report the others.
 constexpr std::size_t max_paces_per_message = 16;
+/// Number of servers whose limit one message reports; later messages report the others.
+constexpr std::size_t max_limits_per_message = 8;
 constexpr std::string_view exchange_path = "/exchange";
+/// Announces what the sender of an exchange understands beyond its first release.
+constexpr std::string_view features_header = "Exchange-Features";
+constexpr std::string_view limits_feature = "limits";
+
+std::string to_text(const endpoint& address) {
+  return address.address + ":" + std::to_string(address.port);
+}
 
 result<relay::exchange_message, relay::codec_failure> decode(std::string_view compressed) {
   const auto plain = net::inflate(compressed, max_message_bytes);
@@ -76,11 +86,11 @@
 }
 
 asio::awaitable<void> peer_link::exchange(endpoint to) {
-  const auto answer = co_await send(to, compose_message());
+  const auto answer = co_await send(to, compose_message(knowing_limits_.contains(to_text(to))));
   if (!answer) {
     co_return;
   }
-  relay::exchange_message follow_up = compose_message();
+  relay::exchange_message follow_up = compose_message(knowing_limits_.contains(to_text(to)));
   add_missing(follow_up, *answer);
   if (follow_up.config || follow_up.list) {
     std::ignore = co_await send(to, follow_up);
@@ -92,6 +102,7 @@
   net::http_request request;
   request.method = "POST";
   request.target = exchange_path;
+  request.headers.emplace_back(features_header, limits_feature);
   request.body = net::deflate(relay::encode(message));
   net::exchange_limits limits;
   limits.connect_timeout = connect_timeout;
@@ -101,6 +112,11 @@
   limits.tcp_user_timeout = tcp_user_timeout;
   limits.body_bytes = max_message_bytes;
   auto response = co_await shared_.http->fetch(to, std::move(request), limits);
+  if (response && response->header(features_header) == limits_feature) {
+    knowing_limits_.insert(to_text(to));
+  } else {
+    knowing_limits_.erase(to_text(to));
+  }
   if (!response) {
     shared_.peers.contact_failed(to, shared_.time.now());
     co_return std::nullopt;
@@ -117,19 +133,21 @@
 asio::awaitable<void> peer_link::handle_exchange(net::http_request request,
                                                  net::response_writer& writer) {
   net::http_response response;
+  response.headers.emplace_back(features_header, limits_feature);
   const auto message = decode(request.body);
   if (!message) {
     response.status = 400;
   } else {
     apply_message(*message);
-    relay::exchange_message answer = compose_message();
+    relay::exchange_message answer =
+        compose_message(request.header(features_header) == limits_feature);
     add_missing(answer, *message);
     response.body = net::deflate(relay::encode(answer));
   }
   std::ignore = co_await writer.send(std::move(response));
 }
 
-relay::exchange_message peer_link::compose_message() {
+relay::exchange_message peer_link::compose_message(bool peer_knows_limits) {
   relay::exchange_message message;
   const time_point now = shared_.time.now();
   message.from = shared_.peers.next_heartbeat(shared_.dispatcher.local_work());
@@ -147,6 +165,11 @@
   message.departures = shared_.servers.departures_to_gossip(now);
   message.paces = shared_.dispatcher.local_paces(max_paces_per_message, now);
   message.peers = shared_.peers.sample_peers(now, shared_.random);
+  if (peer_knows_limits) {
+    dispatch::server_limits& limits = shared_.dispatcher.limits();
+    message.fleet_time = limits.fleet_time(now);
+    message.limits = limits.limits_to_gossip(max_limits_per_message);
+  }
   return message;
 }
 
@@ -168,6 +191,7 @@
   shared_.dispatcher.apply_peer_paces(message.paces, now);
   shared_.dispatcher.apply_absences(message.absences, now);
   shared_.dispatcher.apply_peer_work(shared_.peers.total_peer_work(now));
+  apply_limits(message);
   updater_.observe_era(std::max(message.config_seen.era, message.list_version.era),
                        message.from.vm);
   for (const servers::departure& each : message.departures) {
@@ -182,6 +206,18 @@
   apply_peer_list(message);
 }
 
+void peer_link::apply_limits(const relay::exchange_message& message) {
+  const time_point now = shared_.time.now();
+  dispatch::server_limits& limits = shared_.dispatcher.limits();
+  limits.set_other_members(shared_.peers.known_hashes());
+  limits.observe_fleet_time(message.fleet_time, now);
+  for (const servers::rate_limit& each : message.limits) {
+    if (const auto change = limits.record_peer(each, now)) {
+      log_limit_change(*change, message.from.vm, "");
+    }
+  }
+}
+
 void peer_link::apply_peer_list(const relay::exchange_message& message) {
   const auto& current = shared_.servers.newest();
   servers::list_snapshot reading;
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -6,6 +6,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 
 #include "gateway_state.h"
 #include "hawthornnotch/net/http_server.h"
@@ -43,7 +45,10 @@
       const endpoint& to, const relay::exchange_message& message);
   void apply_message(const relay::exchange_message& message);
   void apply_peer_list(const relay::exchange_message& message);
-  [[nodiscard]] relay::exchange_message compose_message();
+  // \param peer_knows_limits whether the receiver understands the limits of servers; a process of
+  // an earlier release rejects messages that hold them.
+  [[nodiscard]] relay::exchange_message compose_message(bool peer_knows_limits);
+  void apply_limits(const relay::exchange_message& message);
   // Adds the configuration and the server list if `theirs` shows older ones.
   void add_missing(relay::exchange_message& message, const relay::exchange_message& theirs) const;
 
@@ -51,6 +56,8 @@
   state_updater& updater_;
   boost::asio::any_io_executor executor_;
   boost::asio::steady_timer timer_;
+  // Peers, as ADDRESS:PORT, whose last answer announced that they understand limits.
+  std::set<std::string> knowing_limits_;
 };
 
 }  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -170,6 +170,9 @@
     auto chosen = shared_.dispatcher.choose(query);
     if (!chosen) {
       all_paused_ = chosen.last_reason() == dispatch::placement_failure::all_paused;
+      if (all_paused_) {
+        record_held_back();
+      }
       break;
     }
     if (reached_server_ && !consume_retry()) {
@@ -195,7 +198,7 @@
   return allowed;
 }
 
-net::exchange_limits proxied_request::limits_for(const dispatch::placement& to) const {
+net::exchange_limits proxied_request::limits_for(const dispatch::placement& to) {
   net::exchange_limits limits;
   const duration rest = time_remaining();
   limits.connect_timeout = std::min(connect_timeout, rest);
@@ -222,9 +225,10 @@
   return limits;
 }
 
-// The server may have announced that it is leaving or full while the connection was opened.
-bool proxied_request::server_accepts_work() const {
-  return shared_.dispatcher.accepts_requests(placement_.server, shared_.time.now());
+// The server may have announced that it is leaving, full or limited while the connection was
+// opened.
+bool proxied_request::server_accepts_work() {
+  return shared_.dispatcher.may_send(*attempt_, placement_.server, shared_.time.now());
 }
 
 asio::awaitable<proxied_request::attempt_outcome> proxied_request::send_attempt(
@@ -292,8 +296,18 @@
   }
 }
 
+void proxied_request::record_held_back() const {
+  const auto wait = shared_.dispatcher.shortest_remaining_pause(service_, shared_.time.now());
+  shared_.metrics->count("hawthornnotch_requests_held_back_total", {{"service", service_}});
+  log_event(level::info, "request_held_back",
+            {{"request_id", request_.id},
+             {"service", service_},
+             {"wait_ms", wait.value_or(duration{-1}).ms}});
+}
+
 void proxied_request::log_attempt(const dispatch::placement& to) const {
   const time_point now = shared_.time.now();
+  const auto limit = shared_.dispatcher.limits().find({to.server.id, to.server.start_time_ms}, now);
   log_event(
       level::info, "request_sent",
       {{"request_id", request_.id},
@@ -306,6 +320,10 @@
        {"copies_prompt", to.fetch_from.has_value()},
        {"kept_for_streams", to.reserved_for_streams},
        {"candidates", to.candidates},
+       {"at_limit", to.at_limit},
+       {"limit_per_s", limit ? limit->rate.per_second() : -1.0},
+       {"limit_age_ms", limit ? limit->age.ms : -1},
+       {"permits", limit ? limit->permits : -1},
        {"unread_tokens", to.uncached_tokens},
        {"server_running", to.running},
        {"expected_ms", static_cast<std::int64_t>(to.expected_ms)},
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -73,19 +73,21 @@
                                               const event_batch& batch);
   attempt_outcome on_attempt_failed(const net::net_failure& failure);
   attempt_outcome on_attempt_refused(const response_info& details, unsigned status);
-  // Applies the server's announcements that it is leaving or full.
+  // Applies the server's announcements that it is leaving, full or limited.
   void apply_server_notices(const response_info& details);
-  [[nodiscard]] bool server_accepts_work() const;
+  [[nodiscard]] bool server_accepts_work();
   boost::asio::awaitable<void> finish_without_server();
   boost::asio::awaitable<void> send_error(gateway_error error);
   [[nodiscard]] std::optional<duration> retry_after(gateway_error error);
   // \returns the minimum wait, to which jitter is added.
   [[nodiscard]] duration base_retry_after(gateway_error error) const;
-  [[nodiscard]] net::exchange_limits limits_for(const dispatch::placement& to) const;
+  [[nodiscard]] net::exchange_limits limits_for(const dispatch::placement& to);
   // Takes a retry from the budget.  \returns whether there was one.
   [[nodiscard]] bool consume_retry();
   void finish_attempt(dispatch::attempt_end end);
   void log_attempt(const dispatch::placement& to) const;
+  // Counts and logs that no server accepts requests now.
+  void record_held_back() const;
   void log_request();
 
   gateway_state& shared_;
@@ -115,7 +117,7 @@
   std::uint32_t possible_executions_ = 0;
   // Number of servers that rejected the request without executing it.
   std::uint32_t refusals_ = 0;
-  // No server was available, since all candidates asked for a pause.
+  // No server was available, since all asked for a pause or are at their limit.
   bool all_paused_ = false;
   // A server may have received the request, so any further attempt needs the retry budget.
   bool reached_server_ = false;
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "hawthornnotch/observe/log.h"
+#include "limit_events.h"
 #include "proxied_request.h"
 
 namespace hawthornnotch::gateway::internal {
@@ -62,6 +63,12 @@
 }
 
 void proxied_request::apply_server_notices(const response_info& details) {
+  const auto limit_change = shared_.dispatcher.limits().record_answer(
+      {placement_.server.id, placement_.server.start_time_ms}, details.limit, attempt_->sent_at,
+      shared_.time.now());
+  if (limit_change) {
+    log_limit_change(*limit_change, placement_.server.id, request_.id);
+  }
   if (details.leaving) {
     updater_.apply_departure(
         {placement_.server.id, placement_.server.start_time_ms, departure_gossip_time},
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -32,6 +32,7 @@
 json::object to_json(const server_pace& pace);
 json::object to_json(const server_absence& absence);
 json::object to_json(const servers::departure& departure);
+json::object to_json(const servers::rate_limit& limit);
 json::object to_json(const servers::server_entry& entry);
 
 template <class Range>
@@ -74,6 +75,16 @@
           {"remaining_ms", departure.remaining.ms}};
 }
 
+json::object to_json(const servers::rate_limit& limit) {
+  json::object out{{"server", limit.server},
+                   {"born", limit.start_time_ms},
+                   {"observed_ms", limit.observed_at.ms}};
+  if (limit.rate) {
+    out["milli_per_s"] = limit.rate->milli_per_s;
+  }
+  return out;
+}
+
 json::object to_json(const servers::server_entry& entry) {
   return {{"id", entry.id},
           {"born", entry.start_time_ms},
@@ -158,6 +169,18 @@
   return out;
 }
 
+servers::rate_limit read_limit(const json::object& object, bool& good) {
+  object_reader reader(object, good);
+  servers::rate_limit out;
+  out.server = reader->text("server");
+  out.start_time_ms = reader->integer("born", any_number);
+  out.observed_at = {reader->integer("observed_ms", any_count)};
+  if (reader->has("milli_per_s")) {
+    out.rate = servers::request_rate{reader->integer("milli_per_s", any_count)};
+  }
+  return out;
+}
+
 servers::server_entry read_entry(const json::object& object, bool& good) {
   object_reader reader(object, good);
   servers::server_entry out;
@@ -212,6 +235,12 @@
   if (!message.departures.empty()) {
     out["departures"] = to_array(message.departures);
   }
+  if (message.fleet_time.ms != 0) {
+    out["fleet_ms"] = message.fleet_time.ms;
+  }
+  if (!message.limits.empty()) {
+    out["limits"] = to_array(message.limits);
+  }
   if (message.config) {
     out["config"] = *message.config;
   }
@@ -249,6 +278,10 @@
     for (const json::object* departure : reader->objects("departures")) {
       out.departures.push_back(read_departure(*departure, good));
     }
+    out.fleet_time = {reader->integer("fleet_ms", any_count, 0)};
+    for (const json::object* limit : reader->objects("limits")) {
+      out.limits.push_back(read_limit(*limit, good));
+    }
     for (const json::object* each : reader->objects("peers", true)) {
       out.peers.push_back(read_peer(*each, good));
     }
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -195,6 +195,15 @@
   return static_cast<std::size_t>(live) + 1;
 }
 
+std::vector<std::uint64_t> peer_set::known_hashes() const {
+  std::vector<std::uint64_t> hashes;
+  hashes.reserve(peers_.size());
+  for (const auto& [vm, known] : peers_) {
+    hashes.push_back(known.hash_order);
+  }
+  return hashes;
+}
+
 peer_changes peer_set::take_changes(time_point now) {
   peer_changes changes;
   for (auto& [vm, known] : peers_) {
--- a/tests/adapter/wire_protocol_test.cpp
+++ b/tests/adapter/wire_protocol_test.cpp
@@ -165,5 +165,52 @@
   CPPUNIT_ASSERT(!wire.decode_answer(response).leaving);
 }
 
+// \returns the limit that a sealed answer with these header values names, in thousandths.
+std::optional<std::int64_t> named_limit(const std::vector<std::string>& values) {
+  const wire_protocol wire;
+  net::http_response response;
+  response.headers.emplace_back("X-Response-Seal", "seal");
+  for (const std::string& value : values) {
+    response.headers.emplace_back("server-limit", value);
+  }
+  const servers::limit_notice notice = wire.decode_answer(response).limit;
+  const auto* named = std::get_if<servers::limited_to>(&notice);
+  return named == nullptr ? std::nullopt : std::optional(named->rate.milli_per_s);
+}
+
+TEST_THAT(wire_protocol, reads_the_limit_that_a_server_names) {
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1'000}, *named_limit({"1"}));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{500}, *named_limit({" 0.5 "}));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, *named_limit({"0"}));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{100'000'000}, *named_limit({"1e30"}));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{2'000}, *named_limit({"7", "2", "x"}));
+}
+
+TEST_THAT(wire_protocol, takes_an_unreadable_limit_neither_for_a_limit_nor_for_none) {
+  const wire_protocol wire;
+  for (const char* nonsense : {"", "-1", "nan", "inf", "soon", "1 2", "1,2", "0x4", "1e999"}) {
+    net::http_response response;
+    response.headers = {{"X-Response-Seal", "seal"}, {"Server-Limit", nonsense}};
+    CPPUNIT_ASSERT_MESSAGE(nonsense, std::holds_alternative<servers::limit_unknown>(
+                                         wire.decode_answer(response).limit));
+  }
+}
+
+TEST_THAT(wire_protocol, reads_a_limit_only_from_answers_of_the_server_itself) {
+  const wire_protocol wire;
+  net::http_response response;
+  response.headers = {{"Server-Limit", "1"}};
+  CPPUNIT_ASSERT(
+      std::holds_alternative<servers::limit_unknown>(wire.decode_answer(response).limit));
+  response.headers.emplace_back("X-Not-Executed", "1");
+  CPPUNIT_ASSERT(std::holds_alternative<servers::limited_to>(wire.decode_answer(response).limit));
+  response.status = 421;
+  CPPUNIT_ASSERT(
+      std::holds_alternative<servers::limit_unknown>(wire.decode_answer(response).limit));
+  response.headers = {{"X-Response-Seal", "seal"}};
+  response.status = 200;
+  CPPUNIT_ASSERT(std::holds_alternative<servers::not_limited>(wire.decode_answer(response).limit));
+}
+
 }  // namespace
 }  // namespace hawthornnotch::adapter
--- a/tests/hostile/codecs_test.cpp
+++ b/tests/hostile/codecs_test.cpp
@@ -56,6 +56,8 @@
   message.list_digest = 2;
   message.paces = {{"s1", 1'700'000'000'000, 12.0, 40.0}};
   message.absences = {{"s9", duration{4'500}}};
+  message.fleet_time = {90'000};
+  message.limits = {{"s7", 17, servers::request_rate{1'500}, {80'000}}, {"s6", 17, {}, {70'000}}};
   message.departures = {{"s8", 17, duration{2'500}}};
   message.config = R"({"Version":12})";
   servers::server_entry entry;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -99,6 +99,17 @@
   CPPUNIT_ASSERT(!decode(text));
 }
 
+TEST_THAT(peer_set, remembers_the_names_of_silent_peers_for_the_retention) {
+  peer_set peers(make_peer("a"), {}, peer_set_settings{});
+  const time_point begin{100'000};
+  peers.merge_message(message_from(make_peer("b")), begin);
+  peers.merge_message(message_from(make_peer("c")), begin + 59_s);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.live_count(begin + 70_s));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, peers.known_hashes().size());
+  peers.merge_message(message_from(make_peer("c", 2)), begin + 61_s);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.known_hashes().size());
+}
+
 TEST_THAT(peer_set, counts_a_peer_as_dead_when_its_heartbeat_no_longer_increases) {
   peer_set peers = three_peers(start);
   CPPUNIT_ASSERT_EQUAL(std::size_t{3}, peers.live_count(start + 1_s));
