Log the limit and the permits of each request to a limited server

A request to a server that names a limit has a limit_permit line: request id, server, limit, its age, permits of this VM. In place of three fields in every request_sent line, which servers without a limit do not need.

--- a/src/gateway/limit_events.cpp
+++ b/src/gateway/limit_events.cpp
@@ -28,6 +28,15 @@
              {"request_id", request_id}});
 }
 
+void log_permit(const dispatch::limit_summary& limit, std::string_view request_id) {
+  log_event(level::info, "limit_permit",
+            {{"request_id", request_id},
+             {"server", limit.server},
+             {"per_s", limit.rate.per_second()},
+             {"age_ms", limit.age.ms},
+             {"permits", limit.permits}});
+}
+
 void update_limit_gauges(gateway_state& shared, time_point now) {
   const auto limits = shared.dispatcher.limits().summary(now);
   shared.metrics->gauge("hawthornnotch_limited_servers", {}, static_cast<double>(limits.size()));
--- a/src/gateway/limit_events.h
+++ b/src/gateway/limit_events.h
@@ -15,6 +15,9 @@
 void log_limit_change(const dispatch::limit_change& change, std::string_view source,
                       std::string_view request_id);
 
+// Logs the limit under which a request is sent, before its permit is taken.
+void log_permit(const dispatch::limit_summary& limit, std::string_view request_id);
+
 // Sets the gauges of all limits in force.
 void update_limit_gauges(gateway_state& shared, time_point now);
 
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -9,6 +9,7 @@
 
 #include "hawthornnotch/base/hash.h"
 #include "hawthornnotch/observe/log.h"
+#include "limit_events.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -307,7 +308,6 @@
 
 void proxied_request::log_attempt(const dispatch::placement& to) const {
   const time_point now = shared_.time.now();
-  const auto limit = shared_.dispatcher.limits().find({to.server.id, to.server.start_time_ms}, now);
   log_event(
       level::info, "request_sent",
       {{"request_id", request_.id},
@@ -321,9 +321,6 @@
        {"kept_for_streams", to.reserved_for_streams},
        {"candidates", to.candidates},
        {"at_limit", to.at_limit},
-       {"limit_per_s", limit ? limit->rate.per_second() : -1.0},
-       {"limit_age_ms", limit ? limit->age.ms : -1},
-       {"permits", limit ? limit->permits : -1},
        {"unread_tokens", to.uncached_tokens},
        {"server_running", to.running},
        {"expected_ms", static_cast<std::int64_t>(to.expected_ms)},
@@ -331,6 +328,10 @@
        {"time_left_ms", time_remaining().ms},
        {"list_revision", shared_.servers.newest() ? shared_.servers.newest()->version.revision : 0},
        {"list_age_ms", shared_.servers.age(now).value_or(duration{-1}).ms}});
+  const dispatch::server_incarnation server{to.server.id, to.server.start_time_ms};
+  if (const auto limit = shared_.dispatcher.limits().find(server, now)) {
+    log_permit(*limit, request_.id);
+  }
 }
 
 void proxied_request::log_request() {
