--- /dev/null
+++ b/tests/dispatch/retry_budget_cut_test.cpp
@@ -0,0 +1,49 @@
+// The retry budget of a service is one sum over all entry VMs.
+#include <vector>
+
+#include "hawthornnotch/dispatch/retry_budget.h"
+#include "hawthornnotch/relay/peer_set.h"
+#include "test_case.h"
+
+namespace hawthornnotch::dispatch {
+namespace {
+
+using namespace literals;
+
+relay::peer make_vm(std::size_t number) {
+  relay::peer about;
+  about.vm = "entry-" + std::to_string(number);
+  about.address = {"10.0.0.1", static_cast<std::uint16_t>(8'000 + number)};
+  about.incarnation = "1";
+  about.heartbeat = 1;
+  return about;
+}
+
+// Six VMs knew each other; then each half hears only of itself for longer than the heartbeat
+// timeout, and all servers fail.
+TEST_THAT(retry_budget, holds_for_the_sum_on_both_sides_of_a_cut) {
+  constexpr std::size_t vms = 6;
+  constexpr int attempts = 200;
+  const time_point known_at{100'000};
+  const time_point cut = known_at + 5_s;
+  retry_budget_settings settings;
+  settings.slack = 52;
+  int retries = 0;
+  for (std::size_t vm = 0; vm < vms; ++vm) {
+    relay::peer_set peers(make_vm(vm), {}, {});
+    for (std::size_t other = 0; other < vms; ++other) {
+      const bool same_side = (vm < vms / 2) == (other < vms / 2);
+      relay::exchange_message message;
+      message.from = make_vm(other);
+      peers.merge_message(message, same_side ? cut : known_at);
+    }
+    retry_budget budget(settings);
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+      retries += budget.take("forecast", peers.live_count(cut), cut) ? 1 : 0;
+    }
+  }
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(retries) + " retries", retries <= 52);
+}
+
+}  // namespace
+}  // namespace hawthornnotch::dispatch
