Hash slots with the library that all other hashes use

The slot's owner was found with a mixing function of its own beside stable_hash. One copy: stable_hash takes a number too.

--- a/include/hawthornnotch/base/hash.h
+++ b/include/hawthornnotch/base/hash.h
@@ -10,6 +10,8 @@
 
 /// \returns a 64-bit hash of `text`, mixed with `seed`.
 std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
+/// \returns a 64-bit hash of `value`, mixed with `seed`.
+std::uint64_t stable_hash(std::uint64_t value, std::uint64_t seed);
 
 }  // namespace hawthornnotch
 
--- a/src/dispatch/slot_schedule.cpp
+++ b/src/dispatch/slot_schedule.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "hawthornnotch/base/hash.h"
+
 namespace hawthornnotch::dispatch {
 
 namespace {
@@ -13,13 +15,6 @@
 /// One permit: a thousandth of a request per second for a millisecond is one unit.
 constexpr std::int64_t permit_unit = 1'000'000;
 
-// The finalizer of a 64-bit hash: flips each output bit with about half of the input bits.
-std::uint64_t mixed(std::uint64_t value) {
-  value = (value ^ (value >> 33)) * 0xff51afd7ed558ccdULL;
-  value = (value ^ (value >> 33)) * 0xc4ceb9fe1a85ec53ULL;
-  return value ^ (value >> 33);
-}
-
 }  // namespace
 
 slot_schedule::slot_schedule(std::uint64_t server, servers::request_rate rate)
@@ -47,10 +42,10 @@
 }
 
 bool slot_schedule::owned_by_self(const fleet_members& members, std::int64_t slot) const {
-  const std::uint64_t key = mixed(server_ + static_cast<std::uint64_t>(slot));
-  const std::uint64_t own = mixed(members.self ^ key);
+  const std::uint64_t key = stable_hash(static_cast<std::uint64_t>(slot), server_);
+  const std::uint64_t own = stable_hash(members.self, key);
   return std::all_of(members.others.begin(), members.others.end(),
-                     [&](std::uint64_t other) { return mixed(other ^ key) < own; });
+                     [&](std::uint64_t other) { return stable_hash(other, key) < own; });
 }
 
 }  // namespace hawthornnotch::dispatch
