Log the prompt parts of failed sends by their digests

Crashes could not be related to what the requests carried: no log line named a request's parts. send_failed now has the 128-bit digests of the parts that other requests share, bound to the service; no text leaves the VM. Nothing else changes.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -116,6 +116,7 @@
   const routes::service_definition* service = table_->service(service_);
   if (service != nullptr && service->engine) {
     prefixes_ = dispatch::prefixes_of(request_.prompt);
+    parts_ = quarantine::shared_part_fingerprints(service_, request_.prompt);
     const std::uint32_t per_event = std::max(1U, service->engine->tokens_per_event);
     expected_events_ = static_cast<double>(request_.prompt.expected_output_tokens) / per_event;
   }
@@ -278,6 +279,7 @@
              {"why", net::to_string(failure.kind)},
              {"sent", !unsent},
              {"events", events_},
+             {"parts", quarantine::to_text(parts_)},
              {"list_age_ms", shared_.servers.age(shared_.time.now()).value_or(duration{-1}).ms}});
   if (unsent) {
     return attempt_outcome::may_retry;
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -13,6 +13,7 @@
 #include "gateway_error.h"
 #include "gateway_state.h"
 #include "hawthornnotch/net/http_server.h"
+#include "hawthornnotch/quarantine/fingerprint.h"
 #include "store_sync.h"
 
 namespace hawthornnotch::gateway::internal {
@@ -104,6 +105,8 @@
   const routes::workspace_access* workspace_ = nullptr;
   std::string service_;
   std::vector<dispatch::prompt_prefix> prefixes_;
+  // The parts of the prompt that other requests share.
+  std::vector<quarantine::fingerprint> parts_;
   // Events of the complete response by the caller's estimate; 0 if there is none.
   double expected_events_ = 0;
   time_point arrived_at_;
