Quarantine prompt parts that crash servers, over all entry VMs together

Cause: a failure counted against the server alone. Nothing related a crash to what the request had carried, so each new request with the part, and our own retry of it, was sent as if it were the first, on every VM.

Why this works (design 0012): a crash, confirmed by a refused connection, accuses the parts of the requests that waited there for a first event; a first event clears its parts; the part that explains the most moments of crashes is quarantined at four (six where a success is remembered), and crashes that it explains accuse no other part. The evidence is a set that merges in any order; it is gossiped, and told at once from the second crash on, so all VMs decide alike without an owner. Refused requests get 503: they have not run.

An error of the kernel for bytes that are never acknowledged now counts as a time-out.

--- a/include/hawthornnotch/base/digest.h
+++ b/include/hawthornnotch/base/digest.h
@@ -3,7 +3,6 @@
 #ifndef HAWTHORNNOTCH_BASE_DIGEST_H_
 #define HAWTHORNNOTCH_BASE_DIGEST_H_
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,7 +14,10 @@
 struct digest128 {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
-  constexpr auto operator<=>(const digest128&) const = default;
+  constexpr bool operator==(const digest128&) const = default;
+  constexpr bool operator<(const digest128& other) const {
+    return high != other.high ? high < other.high : low < other.low;
+  }
 };
 
 /// \returns the digest of `text`, mixed with `seed`.
--- a/include/hawthornnotch/dispatch/server_limits.h
+++ b/include/hawthornnotch/dispatch/server_limits.h
@@ -102,6 +102,7 @@
     });
   }
 
+  [[nodiscard]] const fleet_members& members() const { return members_; }
   [[nodiscard]] time_point fleet_time(time_point now) const { return clock_.at(now); }
   /// Applies the fleet time of another entry VM.
   void observe_fleet_time(time_point reading, time_point now) { clock_.advance_to(reading, now); }
--- a/include/hawthornnotch/net/http_client.h
+++ b/include/hawthornnotch/net/http_client.h
@@ -95,6 +95,15 @@
   duration safety_margin{500};
 };
 
+/// What a peer does with a new connection.
+enum class connect_check : std::uint8_t {
+  accepted,
+  /// Nobody listens at the address.
+  refused,
+  /// The attempt timed out or failed in another way, as in a network partition.
+  unknown,
+};
+
 /// Sends requests and pools idle connections per endpoint, in shards with one lock each.
 ///
 /// A failed exchange yields a `net_failure`, which says whether the request may have been sent.
@@ -120,6 +129,8 @@
   /// Sends a request and reads the response head; the body is read from the returned stream.
   virtual boost::asio::awaitable<result<std::unique_ptr<response_stream>, net_failure>> open(
       endpoint to, http_request request, exchange_limits limits) = 0;
+  /// Opens a connection without sending anything; one that is accepted is kept for reuse.
+  virtual boost::asio::awaitable<connect_check> check_connect(endpoint to, duration timeout) = 0;
 };
 
 }  // namespace hawthornnotch::net
--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -12,6 +12,7 @@
 #include "hawthornnotch/base/clock.h"
 #include "hawthornnotch/base/result.h"
 #include "hawthornnotch/member/fleet.h"
+#include "hawthornnotch/quarantine/suspicion.h"
 #include "hawthornnotch/servers/rate_limit.h"
 #include "hawthornnotch/servers/server_list.h"
 
@@ -87,6 +88,8 @@
   time_point fleet_time;
   /// A sample of the limits that servers name, and of those that have ended.
   std::vector<servers::rate_limit> limits;
+  /// A sample of what the sender knows of parts of requests that may crash servers.
+  std::vector<quarantine::suspicion> suspicions;
   /// A sample of the other entry VMs, in the sender's last known state.
   std::vector<peer> peers;
   /// Configuration in the platform's format; set if the receiver is known to have an older one.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include <tuple>
 #include <utility>
 
+#include "crash_guard.h"
 #include "gateway_state.h"
 #include "hawthornnotch/base/hash.h"
 #include "hawthornnotch/net/http_server.h"
@@ -71,7 +72,8 @@
       : shared_(settings, wire, make_own_peer(settings, system_clock()),
                 stable_hash(make_incarnation())),
         updater_(shared_, {[this] { on_change(); }, [this] { on_restore(); }}),
-        link_(shared_, updater_, context_.get_executor()),
+        crashes_(shared_, context_.get_executor(), [this] { link_.spread_news(); }),
+        link_(shared_, updater_, crashes_, context_.get_executor()),
         stop_timer_(context_) {
     shared_.http = net::http_client::create(idle_connection_limits());
     shared_.dispatcher.limits().start(shared_.settings.vm, shared_.time.now());
@@ -174,7 +176,7 @@
   }
 
   asio::awaitable<void> serve_caller(net::http_request request, net::response_writer& writer) {
-    proxied_request run(shared_, updater_, writer, context_.get_executor());
+    proxied_request run(shared_, updater_, crashes_, writer, context_.get_executor());
     co_await run.run(std::move(request));
   }
 
@@ -206,6 +208,7 @@
     shown.gauge("hawthornnotch_live_entry_vms", {},
                 static_cast<double>(shared_.peers.live_count(now)));
     update_limit_gauges(shared_, now);
+    crashes_.update_gauges();
     shown.gauge("hawthornnotch_open_requests", {}, static_cast<double>(callers_->open_requests()));
     shown.gauge("hawthornnotch_open_connections", {},
                 static_cast<double>(callers_->open_connections()));
@@ -274,6 +277,7 @@
   asio::io_context context_{1};
   gateway_state shared_;
   state_updater updater_;
+  crash_guard crashes_;
   peer_link link_;
   std::unique_ptr<platform::long_poll_store> store_;
   std::optional<config_watcher> config_;
--- a/src/gateway/gateway_error.h
+++ b/src/gateway/gateway_error.h
@@ -20,6 +20,8 @@
   no_server,
   servers_refused,
   overloaded,
+  // A part of the request is known to crash servers.
+  quarantined,
   time_over_unsent,
   stopping,
   // The request may have been executed.
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "hawthornnotch/gateway/settings.h"
 #include "hawthornnotch/net/http_client.h"
 #include "hawthornnotch/observe/metrics.h"
+#include "hawthornnotch/quarantine/suspect_table.h"
 #include "hawthornnotch/relay/confirmation.h"
 #include "hawthornnotch/relay/peer_set.h"
 #include "hawthornnotch/relay/store_era.h"
@@ -50,6 +51,7 @@
   relay::peer_set peers;
   dispatch::dispatcher dispatcher;
   dispatch::retry_budget retries;
+  quarantine::suspect_table suspects;
   std::unique_ptr<observe::metrics> metrics;
   std::unique_ptr<net::http_client> http;
   // Whether a configuration and a server list are known.
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -32,11 +32,21 @@
 /// Announces what the sender of an exchange understands beyond its first release.
 constexpr std::string_view features_header = "Exchange-Features";
 constexpr std::string_view limits_feature = "limits";
+constexpr std::string_view suspicions_feature = "suspicions";
+/// Number of suspicions in one message; later messages hold the others.
+constexpr std::size_t max_suspicions_per_message = 16;
+/// Minimum time between two rounds of exchanges about crashes.
+constexpr duration min_news_interval{100};
 
 std::string to_text(const endpoint& address) {
   return address.address + ":" + std::to_string(address.port);
 }
 
+net::header_list own_features() {
+  return {{std::string(features_header), std::string(limits_feature)},
+          {std::string(features_header), std::string(suspicions_feature)}};
+}
+
 result<relay::exchange_message, relay::codec_failure> decode(std::string_view compressed) {
   const auto plain = net::inflate(compressed, max_message_bytes);
   if (!plain) {
@@ -47,8 +57,13 @@
 
 }  // namespace
 
-peer_link::peer_link(gateway_state& shared, state_updater& updater, asio::any_io_executor executor)
-    : shared_(shared), updater_(updater), executor_(executor), timer_(executor) {}
+peer_link::peer_link(gateway_state& shared, state_updater& updater, crash_guard& crashes,
+                     asio::any_io_executor executor)
+    : shared_(shared),
+      updater_(updater),
+      crashes_(crashes),
+      executor_(executor),
+      timer_(executor) {}
 
 void peer_link::tick() {
   const auto next = shared_.peers.next_contact(shared_.time.now(), shared_.random);
@@ -56,6 +71,9 @@
     start_exchange(*next);
   }
   log_changes();
+  if (news_waiting_) {
+    spread_news();
+  }
   timer_.expires_after(exchange_period);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
@@ -81,16 +99,42 @@
   }
 }
 
+void peer_link::spread_news() {
+  const time_point now = shared_.time.now();
+  news_waiting_ = now - news_spread_at_ < min_news_interval;
+  if (!news_waiting_) {
+    news_spread_at_ = now;
+    notify_peers();
+  }
+}
+
+// An earlier release reads only the first header line of this name.
+peer_link::peer_features peer_link::announced_features(const net::header_list& headers) {
+  peer_features announced;
+  for (const auto& [name, value] : headers) {
+    if (name == features_header) {
+      announced.limits = announced.limits || value == limits_feature;
+      announced.suspicions = announced.suspicions || value == suspicions_feature;
+    }
+  }
+  return announced;
+}
+
+peer_link::peer_features peer_link::features_of(const endpoint& peer) const {
+  const auto found = features_.find(to_text(peer));
+  return found == features_.end() ? peer_features{} : found->second;
+}
+
 void peer_link::start_exchange(const endpoint& to) {
   asio::co_spawn(executor_, exchange(to), asio::detached);
 }
 
 asio::awaitable<void> peer_link::exchange(endpoint to) {
-  const auto answer = co_await send(to, compose_message(knowing_limits_.contains(to_text(to))));
+  const auto answer = co_await send(to, compose_message(features_of(to)));
   if (!answer) {
     co_return;
   }
-  relay::exchange_message follow_up = compose_message(knowing_limits_.contains(to_text(to)));
+  relay::exchange_message follow_up = compose_message(features_of(to));
   add_missing(follow_up, *answer);
   if (follow_up.config || follow_up.list) {
     std::ignore = co_await send(to, follow_up);
@@ -102,7 +146,7 @@
   net::http_request request;
   request.method = "POST";
   request.target = exchange_path;
-  request.headers.emplace_back(features_header, limits_feature);
+  request.headers = own_features();
   request.body = net::deflate(relay::encode(message));
   net::exchange_limits limits;
   limits.connect_timeout = connect_timeout;
@@ -112,12 +156,10 @@
   limits.tcp_user_timeout = tcp_user_timeout;
   limits.body_bytes = max_message_bytes;
   auto response = co_await shared_.http->fetch(to, std::move(request), limits);
-  if (response && response->header(features_header) == limits_feature) {
-    knowing_limits_.insert(to_text(to));
+  if (response) {
+    features_[to_text(to)] = announced_features(response->headers);
   } else {
-    knowing_limits_.erase(to_text(to));
-  }
-  if (!response) {
+    features_.erase(to_text(to));
     shared_.peers.contact_failed(to, shared_.time.now());
     co_return std::nullopt;
   }
@@ -133,21 +175,20 @@
 asio::awaitable<void> peer_link::handle_exchange(net::http_request request,
                                                  net::response_writer& writer) {
   net::http_response response;
-  response.headers.emplace_back(features_header, limits_feature);
+  response.headers = own_features();
   const auto message = decode(request.body);
   if (!message) {
     response.status = 400;
   } else {
     apply_message(*message);
-    relay::exchange_message answer =
-        compose_message(request.header(features_header) == limits_feature);
+    relay::exchange_message answer = compose_message(announced_features(request.headers));
     add_missing(answer, *message);
     response.body = net::deflate(relay::encode(answer));
   }
   std::ignore = co_await writer.send(std::move(response));
 }
 
-relay::exchange_message peer_link::compose_message(bool peer_knows_limits) {
+relay::exchange_message peer_link::compose_message(const peer_features& understood) {
   relay::exchange_message message;
   const time_point now = shared_.time.now();
   message.from = shared_.peers.next_heartbeat(shared_.dispatcher.local_work());
@@ -165,7 +206,10 @@
   message.departures = shared_.servers.departures_to_gossip(now);
   message.paces = shared_.dispatcher.local_paces(max_paces_per_message, now);
   message.peers = shared_.peers.sample_peers(now, shared_.random);
-  if (peer_knows_limits) {
+  if (understood.suspicions) {
+    message.suspicions = crashes_.suspicions_to_gossip(max_suspicions_per_message);
+  }
+  if (understood.limits) {
     dispatch::server_limits& limits = shared_.dispatcher.limits();
     message.fleet_time = limits.fleet_time(now);
     message.limits = limits.limits_to_gossip(max_limits_per_message);
@@ -192,6 +236,7 @@
   shared_.dispatcher.apply_absences(message.absences, now);
   shared_.dispatcher.apply_peer_work(shared_.peers.total_peer_work(now));
   apply_limits(message);
+  crashes_.merge(message.suspicions, message.from.vm);
   updater_.observe_era(std::max(message.config_seen.era, message.list_version.era),
                        message.from.vm);
   for (const servers::departure& each : message.departures) {
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -4,11 +4,12 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
+#include "crash_guard.h"
 #include "gateway_state.h"
 #include "hawthornnotch/net/http_server.h"
 #include "hawthornnotch/relay/exchange.h"
@@ -24,10 +25,14 @@
 // Ownership: refers to the state and the updater, which outlive it.  Thread safety: none.
 class peer_link {
  public:
-  peer_link(gateway_state& shared, state_updater& updater, boost::asio::any_io_executor executor);
+  peer_link(gateway_state& shared, state_updater& updater, crash_guard& crashes,
+            boost::asio::any_io_executor executor);
   void start() { tick(); }
   // Starts exchanges with peers now, without waiting for the next period.
   void notify_peers();
+  // Starts exchanges as `notify_peers` does, but not more often than at a minimum interval: what
+  // comes sooner is told at the next tick.
+  void spread_news();
   // Serves an exchange started by a peer.  Answers 400 if the message can't be decoded.
   boost::asio::awaitable<void> handle_exchange(net::http_request request,
                                                net::response_writer& writer);
@@ -45,19 +50,29 @@
       const endpoint& to, const relay::exchange_message& message);
   void apply_message(const relay::exchange_message& message);
   void apply_peer_list(const relay::exchange_message& message);
-  // \param peer_knows_limits whether the receiver understands the limits of servers; a process of
-  // an earlier release rejects messages that hold them.
-  [[nodiscard]] relay::exchange_message compose_message(bool peer_knows_limits);
+  // What a process understands beyond its first release; it rejects messages that hold anything
+  // else.
+  struct peer_features {
+    bool limits = false;
+    bool suspicions = false;
+  };
+  static peer_features announced_features(const net::header_list& headers);
+  [[nodiscard]] peer_features features_of(const endpoint& peer) const;
+  [[nodiscard]] relay::exchange_message compose_message(const peer_features& understood);
   void apply_limits(const relay::exchange_message& message);
   // Adds the configuration and the server list if `theirs` shows older ones.
   void add_missing(relay::exchange_message& message, const relay::exchange_message& theirs) const;
 
   gateway_state& shared_;
   state_updater& updater_;
+  crash_guard& crashes_;
   boost::asio::any_io_executor executor_;
   boost::asio::steady_timer timer_;
-  // Peers, as ADDRESS:PORT, whose last answer announced that they understand limits.
-  std::set<std::string> knowing_limits_;
+  // By peer, as ADDRESS:PORT: what its last answer announced.
+  std::map<std::string, peer_features> features_;
+  // When news was last spread.
+  time_point news_spread_at_;
+  bool news_waiting_ = false;
 };
 
 }  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -39,10 +39,11 @@
 }  // namespace
 
 proxied_request::proxied_request(gateway_state& shared, state_updater& updater,
-                                 net::response_writer& writer,
+                                 crash_guard& crashes, net::response_writer& writer,
                                  const asio::any_io_executor& executor)
     : shared_(shared),
       updater_(updater),
+      crashes_(crashes),
       writer_(writer),
       timer_(executor),
       breaker_(std::make_shared<net::cancellation_token>()),
@@ -158,7 +159,7 @@
 void proxied_request::cancel_exchange() { breaker_->cancel(); }
 
 asio::awaitable<void> proxied_request::send_with_retries() {
-  while (!is_aborted() && has_time_to_send()) {
+  while (!is_aborted() && has_time_to_send() && !is_quarantined()) {
     dispatch::placement_query query;
     query.service = service_;
     query.prefixes = prefixes_;
@@ -191,6 +192,13 @@
   co_await finish_without_server();
 }
 
+bool proxied_request::is_quarantined() {
+  if (!head_sent_) {
+    quarantined_ = crashes_.refuses(request_.id, service_, parts_);
+  }
+  return quarantined_;
+}
+
 bool proxied_request::consume_retry() {
   const time_point now = shared_.time.now();
   const bool allowed = shared_.retries.take(service_, shared_.peers.live_count(now), now);
@@ -227,10 +235,11 @@
   return limits;
 }
 
-// The server may have announced that it is leaving, full or limited while the connection was
-// opened.
+// While the connection was opened, the server may have announced that it is leaving, full or
+// limited, and the request may have been quarantined.
 bool proxied_request::server_accepts_work() {
-  return shared_.dispatcher.may_send(*attempt_, placement_.server, shared_.time.now());
+  return !is_quarantined() &&
+         shared_.dispatcher.may_send(*attempt_, placement_.server, shared_.time.now());
 }
 
 asio::awaitable<proxied_request::attempt_outcome> proxied_request::send_attempt(
@@ -272,6 +281,10 @@
               {{"request_id", request_.id}, {"server", tried_servers_.back()}});
     return attempt_outcome::may_retry;
   }
+  const bool unanswered = attempt_ && !attempt_->first_event_seen;
+  if (!unsent && unanswered && failure.kind == net::net_failure_kind::closed) {
+    crashes_.on_closed_unanswered(placement_.server, request_.id, parts_);
+  }
   finish_attempt(unsent ? dispatch::attempt_end::connect_failed : dispatch::attempt_end::broken);
   log_event(level::info, "send_failed",
             {{"request_id", request_.id},
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "crash_guard.h"
 #include "event_splitter.h"
 #include "gateway_error.h"
 #include "gateway_state.h"
@@ -29,8 +30,8 @@
 // Ownership: lives in the coroutine of its connection.  Thread safety: none.
 class proxied_request {
  public:
-  proxied_request(gateway_state& shared, state_updater& updater, net::response_writer& writer,
-                  const boost::asio::any_io_executor& executor);
+  proxied_request(gateway_state& shared, state_updater& updater, crash_guard& crashes,
+                  net::response_writer& writer, const boost::asio::any_io_executor& executor);
   ~proxied_request();
   proxied_request(const proxied_request&) = delete;
   proxied_request& operator=(const proxied_request&) = delete;
@@ -77,6 +78,10 @@
   // Applies the server's announcements that it is leaving, full or limited.
   void apply_server_notices(const response_info& details);
   [[nodiscard]] bool server_accepts_work();
+  // \returns whether the request is known to crash servers and none has begun to answer it.
+  [[nodiscard]] bool is_quarantined();
+  // Records events of the current server's answer.
+  void record_answer_events(std::uint32_t count);
   boost::asio::awaitable<void> finish_without_server();
   boost::asio::awaitable<void> send_error(gateway_error error);
   [[nodiscard]] std::optional<duration> retry_after(gateway_error error);
@@ -93,6 +98,7 @@
 
   gateway_state& shared_;
   state_updater& updater_;
+  crash_guard& crashes_;
   net::response_writer& writer_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<net::cancellation_token> breaker_;
@@ -122,6 +128,8 @@
   std::uint32_t refusals_ = 0;
   // No server was available, since all asked for a pause or are at their limit.
   bool all_paused_ = false;
+  // A part of the request is known to crash servers.
+  bool quarantined_ = false;
   // A server may have received the request, so any further attempt needs the retry budget.
   bool reached_server_ = false;
   bool head_sent_ = false;
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -18,6 +18,8 @@
 /// Default Retry-After.
 constexpr duration default_retry_after{300};
 constexpr duration no_configuration_retry_after{400};
+/// A part that was suspected wrongly is released about this soon.
+constexpr duration quarantine_retry_after{2'000};
 /// How long peers are told that a server is leaving; by then the server list shows it.
 constexpr duration departure_gossip_time{4'000};
 /// Number of servers that may reject a request before its caller is asked to retry later.  Where
@@ -127,7 +129,7 @@
     net::http_response response) {
   const bool server_error = response.status >= first_server_error;
   const time_point now = shared_.time.now();
-  shared_.dispatcher.record_events(*attempt_, 1, now);
+  record_answer_events(1);
   finish_attempt(server_error ? dispatch::attempt_end::server_error
                               : dispatch::attempt_end::completed);
   ++possible_executions_;
@@ -159,7 +161,7 @@
     answer.cancel();
     co_return on_attempt_failed({net::net_failure_kind::too_large, true});
   }
-  shared_.dispatcher.record_events(*attempt_, 1, shared_.time.now());
+  record_answer_events(1);
   const bool started = co_await start_response(answer.head());
   if (!started) {
     co_return on_caller_left(answer);
@@ -223,7 +225,7 @@
     }
     progress_at = now;
     record_event_gap();
-    shared_.dispatcher.record_events(*attempt_, batch.count, now);
+    record_answer_events(batch.count);
     const bool forwarded = co_await forward_events(answer.head(), batch);
     if (!forwarded) {
       co_return on_caller_left(answer);
@@ -243,6 +245,13 @@
   co_return attempt_outcome::done;
 }
 
+void proxied_request::record_answer_events(std::uint32_t count) {
+  if (!attempt_->first_event_seen) {
+    crashes_.on_answer_begun(parts_);
+  }
+  shared_.dispatcher.record_events(*attempt_, count, shared_.time.now());
+}
+
 void proxied_request::record_event_gap() {
   const time_point now = shared_.time.now();
   if (events_ > 0) {
@@ -295,6 +304,8 @@
   const bool timed_out = time_over_ || !has_time_to_send();
   if (possible_executions_ > 0) {
     co_await send_error(timed_out ? gateway_error::time_over : gateway_error::server_failed);
+  } else if (quarantined_) {
+    co_await send_error(gateway_error::quarantined);
   } else if (timed_out) {
     co_await send_error(gateway_error::time_over_unsent);
   } else if (all_paused_) {
@@ -319,6 +330,9 @@
   if (error == gateway_error::no_configuration) {
     return no_configuration_retry_after;
   }
+  if (error == gateway_error::quarantined) {
+    return quarantine_retry_after;
+  }
   if (error == gateway_error::overloaded) {
     const auto end = shared_.dispatcher.shortest_remaining_pause(service_, shared_.time.now());
     return end.value_or(default_retry_after);
--- a/src/net/beast_support.cpp
+++ b/src/net/beast_support.cpp
@@ -12,7 +12,8 @@
 }  // namespace
 
 net_failure_kind to_failure_kind(const error_code& error) {
-  if (error == beast::error::timeout) {
+  // The kernel reports sent bytes that were never acknowledged as timed_out.
+  if (error == beast::error::timeout || error == asio::error::timed_out) {
     return net_failure_kind::timed_out;
   }
   if (error == asio::error::operation_aborted) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -311,6 +311,28 @@
     co_return response;
   }
 
+  asio::awaitable<connect_check> check_connect(endpoint to, duration timeout) override {
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    beast::tcp_stream stream(executor);
+    error_code error;
+    const auto address = asio::ip::make_address(to.address, error);
+    if (error) {
+      co_return connect_check::unknown;
+    }
+    stream.expires_after(to_chrono(timeout));
+    const auto [connect_error] =
+        co_await stream.async_connect(tcp::endpoint(address, to.port), as_result);
+    if (connect_error) {
+      const bool refused = connect_error == asio::error::connection_refused ||
+                           connect_error == asio::error::connection_reset;
+      co_return refused ? connect_check::refused : connect_check::unknown;
+    }
+    stream.expires_never();
+    stream.socket().set_option(tcp::no_delay(true), error);
+    pool_->put(to, stream.release_socket(), std::nullopt);
+    co_return connect_check::accepted;
+  }
+
  private:
   std::shared_ptr<connection_pool> pool_;
 };
--- a/src/quarantine/fingerprint.cpp
+++ b/src/quarantine/fingerprint.cpp
@@ -16,7 +16,7 @@
   return out;
 }
 
-std::string to_text(const std::vector<fingerprint>& fingerprints) {
+std::string to_text(std::span<const fingerprint> fingerprints) {
   std::string text;
   for (const fingerprint& each : fingerprints) {
     text += (text.empty() ? "" : ",") + to_hex(each.digest);
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -1,11 +1,11 @@
 #include "hawthornnotch/relay/exchange.h"
 
 #include <boost/json.hpp>
-#include <charconv>
 #include <cmath>
 #include <limits>
 
-#include "hawthornnotch/config/json_reader.h"
+#include "object_reader.h"
+#include "suspicion_codec.h"
 
 namespace hawthornnotch::relay {
 
@@ -13,9 +13,10 @@
 
 namespace json = boost::json;
 
-constexpr std::int64_t max_int64 = std::numeric_limits<std::int64_t>::max();
-constexpr integer_range any_count{0, max_int64};
-constexpr integer_range any_number{std::numeric_limits<std::int64_t>::min(), max_int64};
+using internal::any_count;
+using internal::any_number;
+using internal::object_reader;
+using internal::read_number;
 
 std::string to_text(const endpoint& address) {
   return address.address + ":" + std::to_string(address.port);
@@ -95,26 +96,6 @@
           {"leaving", entry.leaving}};
 }
 
-// Reads one JSON object and sets `good` to false on any error, unknown keys included.
-class object_reader {
- public:
-  object_reader(const json::object& object, bool& good) : reader_(object, ""), good_(good) {}
-  ~object_reader() { good_ = good_ && !reader_.finish(); }
-  object_reader(const object_reader&) = delete;
-  object_reader& operator=(const object_reader&) = delete;
-  json_reader* operator->() { return &reader_; }
-
- private:
-  json_reader reader_;
-  bool& good_;
-};
-
-// 64-bit hashes are encoded as strings, since JSON numbers may lose precision.
-bool read_number(const std::string& text, std::uint64_t& into) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), into);
-  return error == std::errc() && end == text.data() + text.size();
-}
-
 server_work read_work(const json::object& object, bool& good) {
   object_reader reader(object, good);
   server_work out;
@@ -241,6 +222,9 @@
   if (!message.limits.empty()) {
     out["limits"] = to_array(message.limits);
   }
+  if (!message.suspicions.empty()) {
+    out["suspicions"] = internal::encode_suspicions(message.suspicions);
+  }
   if (message.config) {
     out["config"] = *message.config;
   }
@@ -282,6 +266,9 @@
     for (const json::object* limit : reader->objects("limits")) {
       out.limits.push_back(read_limit(*limit, good));
     }
+    for (const json::object* suspicion : reader->objects("suspicions")) {
+      out.suspicions.push_back(internal::read_suspicion(*suspicion, good));
+    }
     for (const json::object* each : reader->objects("peers", true)) {
       out.peers.push_back(read_peer(*each, good));
     }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -122,6 +122,8 @@
                                   std::int64_t start_time = 1) const;
   [[nodiscard]] const std::string& id() const { return id_; }
   [[nodiscard]] endpoint address() const { return {"127.0.0.1", server_->port()}; }
+  // Refuses new connections from now on, as a server does that has crashed.
+  void stop_accepting() { server_->stop_accepting(); }
 
  private:
   std::string id_;
--- a/tests/gateway/recording_peer.h
+++ b/tests/gateway/recording_peer.h
@@ -14,6 +14,7 @@
   explicit recording_peer(loopback_runtime& runtime);
   [[nodiscard]] endpoint address() const { return server_.address(); }
   [[nodiscard]] std::vector<relay::exchange_message> received_messages();
+  [[nodiscard]] std::vector<http_request> received_requests() { return server_.received(); }
 
  private:
   fake_server server_;
--- a/tests/hostile/codecs_test.cpp
+++ b/tests/hostile/codecs_test.cpp
@@ -58,6 +58,13 @@
   message.absences = {{"s9", duration{4'500}}};
   message.fleet_time = {90'000};
   message.limits = {{"s7", 17, servers::request_rate{1'500}, {80'000}}, {"s6", 17, {}, {70'000}}};
+  quarantine::suspicion suspicion;
+  suspicion.what.digest = {7, 9};
+  suspicion.position = 1;
+  suspicion.crashes = {{17, {80'000}}, {18, {81'000}}};
+  suspicion.last_success = time_point{70'000};
+  suspicion.last_seen = {82'000};
+  message.suspicions = {suspicion};
   message.departures = {{"s8", 17, duration{2'500}}};
   message.config = R"({"Version":12})";
   servers::server_entry entry;
