Quarantine requests that crash servers, however often they come

Cause: a request that comes again under a new id was not recognised, by one VM or by all together, and each attempt was repeated by ourselves.

Why this works: the request as a whole, as a 128-bit digest of workspace, host, method, path and body, is a suspect beside its parts, in the same evidence and the same gossip. It is quarantined at three moments of crashes; the more specific suspect explains a crash before a less specific one, so no part of it is condemned. Our own attempts count, and are checked before each send. Successful requests are remembered apart from parts, which they would displace.

--- a/include/hawthornnotch/quarantine/fingerprint.h
+++ b/include/hawthornnotch/quarantine/fingerprint.h
@@ -17,8 +17,23 @@
 /// but the last part, which is the request's own.
 std::vector<fingerprint> shared_part_fingerprints(std::string_view service,
                                                   const dispatch::prompt_shape& prompt);
-/// \returns the digests in hexadecimal, separated by commas, for logs.
-std::string to_text(std::span<const fingerprint> fingerprints);
+/// What stays the same when a caller sends a request again.
+struct request_identity {
+  /// Empty if the request belongs to none.
+  std::string_view workspace;
+  std::string_view host;
+  std::string_view method;
+  /// Path and query.
+  std::string_view target;
+  std::string_view body;
+};
+
+/// \returns the fingerprint of a request, which does not depend on its id.
+fingerprint request_fingerprint(const request_identity& request);
+/// \returns the name of the kind in logs.
+std::string_view to_string(suspect_kind kind);
+/// \returns the digests of one kind in hexadecimal, separated by commas, for logs.
+std::string to_text(std::span<const fingerprint> fingerprints, suspect_kind kind);
 
 }  // namespace hawthornnotch::quarantine
 
--- a/include/hawthornnotch/quarantine/suspect_table.h
+++ b/include/hawthornnotch/quarantine/suspect_table.h
@@ -1,5 +1,5 @@
 /// \file
-/// Finds the parts of requests that crash backend servers, and refuses requests with them.
+/// Finds the prompt parts and requests that crash backend servers, and refuses them.
 #ifndef HAWTHORNNOTCH_QUARANTINE_SUSPECT_TABLE_H_
 #define HAWTHORNNOTCH_QUARANTINE_SUSPECT_TABLE_H_
 
@@ -40,22 +40,22 @@
   std::size_t unexplained = 0;
 };
 
-/// Decides which part of the requests crashes servers ("query of death"), from the crashes and
-/// successes that all entry VMs observe.
+/// Decides which prompt part or which request crashes servers ("query of death"), from the crashes
+/// and successes that all entry VMs observe.
 ///
-/// A crash accuses every part of the requests that waited for their first event there.  A first
-/// event clears a part of all earlier crashes, since the server survived it.  Of the parts that
-/// remain, the one that explains the most crashes is quarantined once there are enough of them;
-/// crashes that it explains accuse no other part.  Crashes at the same moment count once: they have
-/// a common cause, which no single request can be.
+/// A crash accuses the requests that waited for their first event there, and each of their parts. A
+/// first event clears them of all earlier crashes, since the server survived it. Of the suspects
+/// that remain, the one that explains the most crashes is quarantined once there are enough of
+/// them; crashes that it explains accuse no other suspect. Crashes at the same moment count once:
+/// they have a common cause, which no single request can be.
 ///
-/// The evidence is a set of crashes and the time of the last success by part; merging it is
-/// commutative and idempotent, so all entry VMs come to the same result without an owner.  All
-/// times are of the fleet clock.
+/// The evidence is a set of crashes and the time of the last success by suspect; merging it is
+/// commutative and idempotent, so all entry VMs come to the same result without an owner. All times
+/// are of the fleet clock.
 ///
 /// Example:
-///     table.record_crash(server, parts, now);
-///     if (auto refused = table.find_quarantined(parts, now)) { refuse(*refused); }
+///     table.record_crash(server, carried, now);
+///     if (auto refused = table.find_quarantined(carried, members, now)) { refuse(*refused); }
 /// Ownership: a value.  Thread safety: none.
 class suspect_table {
  public:
@@ -69,7 +69,7 @@
   void merge(std::span<const suspicion> known, time_point now);
 
   /// \returns why a request must not be sent; none if it may be.  At long intervals, one entry VM
-  /// may send a single request to find out whether a part still crashes servers.
+  /// may send a single request to find out whether it still crashes servers.
   /// \param members the entry VMs among which that one is chosen.
   [[nodiscard]] std::optional<verdict> find_quarantined(std::span<const fingerprint> carried,
                                                         const dispatch::fleet_members& members,
@@ -115,7 +115,13 @@
   void make_room();
 
   suspects suspects_;
-  success_memory successes_;
+  [[nodiscard]] success_memory& successes_of(suspect_kind kind) {
+    return kind == suspect_kind::prompt_part ? successful_parts_ : successful_requests_;
+  }
+
+  // One each, since the many requests would displace the parts.
+  success_memory successful_parts_;
+  success_memory successful_requests_;
   std::vector<quarantine_change> changes_;
   bool news_ = false;
   /// The last quarantined suspect that was gossiped in turn.
--- a/include/hawthornnotch/quarantine/suspicion.h
+++ b/include/hawthornnotch/quarantine/suspicion.h
@@ -12,11 +12,22 @@
 
 namespace hawthornnotch::quarantine {
 
-/// Identifies one prompt part at one service.
+/// What may crash servers.
+enum class suspect_kind : std::uint8_t {
+  /// One prompt part at one service, whatever else a request holds.
+  prompt_part,
+  /// One request, each time that its caller sends it.
+  request,
+};
+
+/// Identifies one prompt part or one request.
 struct fingerprint {
+  suspect_kind kind = suspect_kind::prompt_part;
   digest128 digest;
   constexpr bool operator==(const fingerprint&) const = default;
-  constexpr bool operator<(const fingerprint& other) const { return digest < other.digest; }
+  constexpr bool operator<(const fingerprint& other) const {
+    return kind != other.kind ? kind < other.kind : digest < other.digest;
+  }
 };
 
 /// The end of one incarnation of a backend server.
@@ -32,7 +43,8 @@
 /// The evidence for and against one fingerprint, as gossiped between entry VMs.
 struct suspicion {
   fingerprint what;
-  /// Greatest position in a prompt at which it was seen; a later part is more specific.
+  /// Greatest position at which a request carried it.  What is carried later is more specific: the
+  /// parts of a prompt come in order, the request as a whole comes last.
   std::uint32_t position = 0;
   /// Crashes of servers at which a request with it had no first event yet, in order of time: the
   /// newest ones, and at most a few of those that happened together.
--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -88,7 +88,7 @@
   time_point fleet_time;
   /// A sample of the limits that servers name, and of those that have ended.
   std::vector<servers::rate_limit> limits;
-  /// A sample of what the sender knows of parts of requests that may crash servers.
+  /// A sample of what the sender knows of prompt parts and requests that may crash servers.
   std::vector<quarantine::suspicion> suspicions;
   /// A sample of the other entry VMs, in the sender's last known state.
   std::vector<peer> peers;
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -12,6 +12,7 @@
 namespace asio = boost::asio;
 using observe::level;
 using observe::log_event;
+using quarantine::suspect_kind;
 
 namespace {
 
@@ -60,7 +61,8 @@
   log_event(level::info, "crash_charged",
             {{"request_id", charged.request_id},
              {"server", server.id},
-             {"parts", quarantine::to_text(charged.carried)}});
+             {"parts", quarantine::to_text(charged.carried, suspect_kind::prompt_part)},
+             {"request", quarantine::to_text(charged.carried, suspect_kind::request)}});
   const auto seed = static_cast<std::uint64_t>(server.start_time_ms);
   const auto incarnation = static_cast<std::uint32_t>(stable_hash(server.id, seed));
   shared_.suspects.record_crash(incarnation, charged.carried, charged.closed_at);
@@ -87,7 +89,8 @@
   log_event(level::info, "request_quarantined",
             {{"request_id", request_id},
              {"service", service},
-             {"part", to_hex(found->what.digest)},
+             {"kind", quarantine::to_string(found->what.kind)},
+             {"digest", to_hex(found->what.digest)},
              {"crashes", found->crashes},
              {"age_ms", found->age.ms}});
   return true;
@@ -96,7 +99,8 @@
 void crash_guard::publish(std::string_view source) {
   for (const quarantine::quarantine_change& each : shared_.suspects.take_changes()) {
     log_event(level::warning, each.quarantined ? "quarantined" : "released",
-              {{"part", to_hex(each.what.digest)},
+              {{"kind", quarantine::to_string(each.what.kind)},
+               {"digest", to_hex(each.what.digest)},
                {"crashes", each.crashes},
                {"unexplained", each.unexplained},
                {"source", source}});
--- a/src/gateway/gateway_error.h
+++ b/src/gateway/gateway_error.h
@@ -20,7 +20,7 @@
   no_server,
   servers_refused,
   overloaded,
-  // A part of the request is known to crash servers.
+  // The request, or a part of it, is known to crash servers.
   quarantined,
   time_over_unsent,
   stopping,
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -117,10 +117,14 @@
   const routes::service_definition* service = table_->service(service_);
   if (service != nullptr && service->engine) {
     prefixes_ = dispatch::prefixes_of(request_.prompt);
-    parts_ = quarantine::shared_part_fingerprints(service_, request_.prompt);
+    carried_ = quarantine::shared_part_fingerprints(service_, request_.prompt);
     const std::uint32_t per_event = std::max(1U, service->engine->tokens_per_event);
     expected_events_ = static_cast<double>(request_.prompt.expected_output_tokens) / per_event;
   }
+  const std::string_view workspace = workspace_ != nullptr ? workspace_->name : "";
+  carried_.push_back(
+      quarantine::request_fingerprint({workspace, request_.host, request_.message.method,
+                                       request_.message.target, request_.message.body}));
   const duration allowed =
       request_.time_left ? std::min(*request_.time_left, route_->timeout) : route_->timeout;
   deadline_ = arrived_at_ + allowed;
@@ -194,7 +198,7 @@
 
 bool proxied_request::is_quarantined() {
   if (!head_sent_) {
-    quarantined_ = crashes_.refuses(request_.id, service_, parts_);
+    quarantined_ = crashes_.refuses(request_.id, service_, carried_);
   }
   return quarantined_;
 }
@@ -283,7 +287,7 @@
   }
   const bool unanswered = attempt_ && !attempt_->first_event_seen;
   if (!unsent && unanswered && failure.kind == net::net_failure_kind::closed) {
-    crashes_.on_closed_unanswered(placement_.server, request_.id, parts_);
+    crashes_.on_closed_unanswered(placement_.server, request_.id, carried_);
   }
   finish_attempt(unsent ? dispatch::attempt_end::connect_failed : dispatch::attempt_end::broken);
   log_event(level::info, "send_failed",
@@ -292,7 +296,8 @@
              {"why", net::to_string(failure.kind)},
              {"sent", !unsent},
              {"events", events_},
-             {"parts", quarantine::to_text(parts_)},
+             {"parts", quarantine::to_text(carried_, quarantine::suspect_kind::prompt_part)},
+             {"request", quarantine::to_text(carried_, quarantine::suspect_kind::request)},
              {"list_age_ms", shared_.servers.age(shared_.time.now()).value_or(duration{-1}).ms}});
   if (unsent) {
     return attempt_outcome::may_retry;
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -111,8 +111,8 @@
   const routes::workspace_access* workspace_ = nullptr;
   std::string service_;
   std::vector<dispatch::prompt_prefix> prefixes_;
-  // The parts of the prompt that other requests share.
-  std::vector<quarantine::fingerprint> parts_;
+  // The parts of the prompt that other requests share, and the request itself.
+  std::vector<quarantine::fingerprint> carried_;
   // Events of the complete response by the caller's estimate; 0 if there is none.
   double expected_events_ = 0;
   time_point arrived_at_;
@@ -128,7 +128,7 @@
   std::uint32_t refusals_ = 0;
   // No server was available, since all asked for a pause or are at their limit.
   bool all_paused_ = false;
-  // A part of the request is known to crash servers.
+  // The request, or a part of it, is known to crash servers.
   bool quarantined_ = false;
   // A server may have received the request, so any further attempt needs the retry budget.
   bool reached_server_ = false;
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -247,7 +247,7 @@
 
 void proxied_request::record_answer_events(std::uint32_t count) {
   if (!attempt_->first_event_seen) {
-    crashes_.on_answer_begun(parts_);
+    crashes_.on_answer_begun(carried_);
   }
   shared_.dispatcher.record_events(*attempt_, count, shared_.time.now());
 }
--- a/src/quarantine/evidence.cpp
+++ b/src/quarantine/evidence.cpp
@@ -9,10 +9,12 @@
 
 /// Servers that crash within this time of each other may have one cause that is no request.
 constexpr duration moment_length{150};
-/// Moments that quarantine a part which no server is remembered to have answered.
-constexpr std::size_t required_unproven = 4;
-/// The same for a part with a remembered success: it is more probably a bystander.
-constexpr std::size_t required_proven = 6;
+/// Moments that quarantine a part which no server is remembered to have answered, and a request of
+/// that kind.  A part takes more of them, since it concerns more requests.
+constexpr std::size_t required_of_part = 4;
+constexpr std::size_t required_of_request = 3;
+/// Further moments where a success is remembered: the suspect is more probably a bystander.
+constexpr std::size_t required_beyond_success = 2;
 /// Crashes that are kept of each interval of `moment_length`, and of how many intervals.  Which
 /// ones are kept depends on the crashes alone, not on the order in which they become known.
 constexpr std::size_t max_crashes_per_interval = 3;
@@ -87,7 +89,9 @@
 }
 
 std::size_t required_moments(const suspicion& evidence) {
-  return evidence.last_success ? required_proven : required_unproven;
+  const bool is_part = evidence.what.kind == suspect_kind::prompt_part;
+  const std::size_t required = is_part ? required_of_part : required_of_request;
+  return required + (evidence.last_success ? required_beyond_success : 0);
 }
 
 bool add_crash(suspicion& evidence, const crash& added) {
--- a/src/quarantine/suspect_table.cpp
+++ b/src/quarantine/suspect_table.cpp
@@ -49,7 +49,7 @@
   suspect& added = suspects_[what];
   added.evidence.what = what;
   added.evidence.last_seen = now;
-  added.evidence.last_success = successes_.find(what);
+  added.evidence.last_success = successes_of(what.kind).find(what);
   return added;
 }
 
@@ -93,7 +93,7 @@
 void suspect_table::record_success(std::span<const fingerprint> carried, time_point now) {
   bool changed = false;
   for (const fingerprint& what : carried) {
-    successes_.record(what, now);
+    successes_of(what.kind).record(what, now);
     const auto found = suspects_.find(what);
     if (found != suspects_.end()) {
       changed = add_success(found->second, now) || changed;
--- a/src/relay/suspicion_codec.cpp
+++ b/src/relay/suspicion_codec.cpp
@@ -10,6 +10,7 @@
 
 namespace json = boost::json;
 
+constexpr integer_range any_kind{0, static_cast<std::int64_t>(quarantine::suspect_kind::request)};
 constexpr integer_range any_uint32{0, std::numeric_limits<std::uint32_t>::max()};
 
 json::object to_json(const quarantine::crash& crash) {
@@ -21,7 +22,8 @@
   for (const quarantine::crash& each : suspicion.crashes) {
     crashes.push_back(to_json(each));
   }
-  json::object out{{"what", to_hex(suspicion.what.digest)},
+  json::object out{{"kind", static_cast<std::int64_t>(suspicion.what.kind)},
+                   {"what", to_hex(suspicion.what.digest)},
                    {"position", suspicion.position},
                    {"crashes", std::move(crashes)},
                    {"seen_ms", suspicion.last_seen.ms}};
@@ -52,6 +54,7 @@
 quarantine::suspicion read_suspicion(const json::object& object, bool& good) {
   object_reader reader(object, good);
   quarantine::suspicion out;
+  out.what.kind = static_cast<quarantine::suspect_kind>(reader->integer("kind", any_kind));
   const auto digest = digest_from_hex(reader->text("what"));
   good = digest.has_value() && good;
   out.what.digest = digest.value_or(digest128{});
--- a/tests/quarantine/crashing_fleet.cpp
+++ b/tests/quarantine/crashing_fleet.cpp
@@ -24,7 +24,9 @@
 
 }  // namespace
 
-fingerprint part(std::uint64_t number) { return {digest_of(std::to_string(number))}; }
+fingerprint part(std::uint64_t number) {
+  return {suspect_kind::prompt_part, digest_of(std::to_string(number))};
+}
 
 crashing_fleet::crashing_fleet(const fleet_options& options)
     : options_(options), random_(options.seed), vms_(options.vms), servers_(options.servers) {
@@ -65,8 +67,9 @@
 double crashing_fleet::refused_companions() const { return companions_.value(); }
 
 request_parts crashing_fleet::draw_parts(bool deadly) {
+  const bool has_part = deadly && options_.deadly == suspect_kind::prompt_part;
   request_parts parts;
-  if (deadly && options_.position == 0) {
+  if (has_part && options_.position == 0) {
     parts.push_back(part(crashing));
   }
   const bool second = second_part_ && random_.unit() < 0.5;
@@ -75,10 +78,13 @@
   } else {
     parts.push_back(part(companion + random_.below(options_.first_parts)));
   }
-  if (deadly && options_.position > 0) {
+  if (has_part && options_.position > 0) {
     parts.push_back(part(second ? crashing + 1 : crashing));
   }
-  parts.push_back(part(100 + random_.below(middle_parts)));
+  const bool repeated = deadly && !has_part;
+  parts.push_back(part(100 + (repeated ? 0 : random_.below(middle_parts))));
+  const std::uint64_t number = repeated ? 0 : ++requests_;
+  parts.push_back({suspect_kind::request, digest_of(std::to_string(number))});
   return parts;
 }
 
@@ -132,7 +138,8 @@
     }
     if (at.pending[index].deadly) {
       ++deadly_crashes_;
-      if (deadly_crashes_ == crashes_before) {
+      const bool is_part = options_.deadly == suspect_kind::prompt_part;
+      if (deadly_crashes_ == (is_part ? crashes_before_part : crashes_before_request)) {
         bound_ = now_ + stability;
       }
       crash(at);
--- a/tests/quarantine/crashing_fleet.h
+++ b/tests/quarantine/crashing_fleet.h
@@ -16,13 +16,14 @@
 
 using namespace literals;
 
-// The bound of the platform's rule: this many requests with a crashing part may reach servers, sent
-// by VMs that count, later than `stability` after the crash of this number.
-inline constexpr std::size_t crashes_before = 5;
+// The bound of the platform's rules: this many deadly requests may reach servers, sent by VMs that
+// count, later than `stability` after the crash of this number.
+inline constexpr std::size_t crashes_before_part = 5;
+inline constexpr std::size_t crashes_before_request = 3;
 inline constexpr duration stability{3'000};
 inline constexpr std::size_t allowed_after = 3;
 
-// A request's shared parts, from the first on.
+// A request's shared parts, from the first on, and the request itself.
 using request_parts = std::vector<fingerprint>;
 
 // \returns the fingerprint of a part by its number.
@@ -35,6 +36,8 @@
   double sound_per_s = 40;
   double deadly_per_s = 2;
   std::uint64_t seed = 1;
+  // What crashes servers: a part, or one request that comes again.
+  suspect_kind deadly = suspect_kind::prompt_part;
   // Position of the crashing part: 0 the first, 1 after a first part that sound requests share.
   std::size_t position = 1;
   // Part of the answers of sound requests whose connection closes although the server lives.
@@ -122,6 +125,7 @@
   std::vector<server> servers_;
   std::multimap<std::int64_t, std::function<void()>> delayed_;
   std::uint32_t incarnations_ = 0;
+  std::uint64_t requests_ = 0;
   std::size_t cut_off_ = 0;
   bool second_part_ = false;
   std::size_t deadly_crashes_ = 0;
--- a/tests/quarantine/crashing_part_soak_test.cpp
+++ b/tests/quarantine/quarantine_soak_test.cpp
@@ -1,5 +1,5 @@
-// A seeded soak: crashing parts beside restarts, freezes, cuts and crashes of another cause that
-// overlap.  HAWTHORNNOTCH_SOAK_SEEDS sets the number of seeds.
+// A seeded soak: crashing parts and requests beside restarts, freezes, cuts and crashes of another
+// cause that overlap.  HAWTHORNNOTCH_SOAK_SEEDS sets the number of seeds.
 #include <array>
 #include <cstdlib>
 #include <string>
@@ -90,6 +90,7 @@
   options.deadly_per_s = rates[random.below(rates.size())];
   options.position = random.below(2);
   options.lost_answers = random.unit() / 8;
+  options.deadly = random.below(2) == 0 ? suspect_kind::prompt_part : suspect_kind::request;
   options.seed = seed;
   crashing_fleet fleet(options);
   soak_driver(fleet, options.vms, seed).run(30);
@@ -102,7 +103,7 @@
                          fleet.refused_sound() <= max_refused);
 }
 
-TEST_THAT(crashing_part, is_bounded_in_a_seeded_soak) {
+TEST_THAT(quarantine, is_bounded_in_a_seeded_soak) {
   for (std::uint64_t seed = 1; seed <= seeds_to_run(); ++seed) {
     soak(seed);
   }
