Keep the workspace's name alive while a request is digested

The conditional made a temporary string, so the digest of a request read freed memory; clang-tidy found it.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -121,7 +121,8 @@
     const std::uint32_t per_event = std::max(1U, service->engine->tokens_per_event);
     expected_events_ = static_cast<double>(request_.prompt.expected_output_tokens) / per_event;
   }
-  const std::string_view workspace = workspace_ != nullptr ? workspace_->name : "";
+  const std::string_view workspace =
+      workspace_ != nullptr ? std::string_view(workspace_->name) : std::string_view();
   carried_.push_back(
       quarantine::request_fingerprint({workspace, request_.host, request_.message.method,
                                        request_.message.target, request_.message.body}));
