--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -66,6 +66,12 @@
   return false;
 }
 
+void raw_connection::reset() {
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  socket_.close(ignored);
+}
+
 void raw_connection::close() {
   error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_both, ignored);
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -34,6 +34,8 @@
   // \returns whether the peer closed.
   bool trickle_until_closed(std::string_view bytes);
   void close();
+  // Closes with a TCP reset.
+  void reset();
 
  private:
   boost::asio::ip::tcp::socket socket_;
