Use no kept connection for two requests of one id in a row

A server that writes a refusal once more is told from the answer by the request's id only. The pool now keeps the tag of the last request with each idle connection and leaves those alone that had the same one.

--- a/include/hawthornnotch/net/http_client.h
+++ b/include/hawthornnotch/net/http_client.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -58,6 +59,9 @@
   /// Predicate on each response head; false skips the response as one to an earlier request on the
   /// same connection. Null accepts every response.
   std::function<bool(const http_response& head)> is_expected;
+  /// Tells requests apart: a kept connection whose last request had the same tag is not reused,
+  /// since a second copy of the earlier answer could not be told from the answer. None reuses any.
+  std::optional<std::string> request_tag;
   /// The operating system closes the connection if sent bytes stay unacknowledged for this long
   /// (TCP_USER_TIMEOUT); 0 keeps its default.
   duration tcp_user_timeout{0};
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -232,6 +232,7 @@
     limits.read_timeout = limits.head_timeout;
   }
   limits.cancellation = breaker_;
+  limits.request_tag = request_.id;
   limits.may_send = [this] { return server_accepts_work(); };
   limits.is_expected = [this](const net::http_response& head) {
     const response_info details = shared_.wire.decode_answer(head);
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-std::optional<tcp::socket> connection_pool::pop_idle(const endpoint& to) {
+std::optional<tcp::socket> connection_pool::pop_idle(const endpoint& to, const tag& unlike) {
   shard& owner = shard_of(to);
   const std::lock_guard lock(owner.mutex);
   const auto found = owner.idle.find(to);
@@ -39,14 +39,21 @@
     owner.idle.erase(found);
     return std::nullopt;
   }
-  tcp::socket idle = std::move(sockets.back().socket);
-  sockets.pop_back();
+  const auto newest = std::find_if(sockets.rbegin(), sockets.rend(), [&](const idle_socket& each) {
+    return !unlike || each.last_tag != unlike;
+  });
+  if (newest == sockets.rend()) {
+    return std::nullopt;
+  }
+  tcp::socket idle = std::move(newest->socket);
+  sockets.erase(std::next(newest).base());
   return idle;
 }
 
 std::optional<tcp::socket> connection_pool::take(const endpoint& to,
-                                                 const asio::any_io_executor& executor) {
-  while (auto idle = pop_idle(to)) {
+                                                 const asio::any_io_executor& executor,
+                                                 const tag& unlike) {
+  while (auto idle = pop_idle(to, unlike)) {
     // Readable means that the peer has closed the connection or sent bytes without a request.
     if (peek(*idle) == peek_result::none) {
       return move_to(std::move(*idle), executor);
@@ -56,7 +63,7 @@
 }
 
 void connection_pool::put(const endpoint& to, tcp::socket idle,
-                          std::optional<duration> peer_timeout) {
+                          std::optional<duration> peer_timeout, tag last_tag) {
   const duration lifetime = peer_timeout
                                 ? std::min(*peer_timeout - limits_.safety_margin, limits_.lifetime)
                                 : limits_.default_lifetime;
@@ -67,7 +74,7 @@
   const std::lock_guard lock(owner.mutex);
   idle_list& sockets = owner.idle[to];
   if (sockets.size() < limits_.per_endpoint) {
-    sockets.push_back({std::move(idle), time_.now() + lifetime});
+    sockets.push_back({std::move(idle), time_.now() + lifetime, std::move(last_tag)});
   }
 }
 
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "beast_support.h"
@@ -23,17 +24,24 @@
  public:
   explicit connection_pool(idle_connections limits) : limits_(limits) {}
 
+  using tag = std::optional<std::string>;
+
   // \returns a socket that the peer has not closed, rebound to `executor`; nullopt if there is
   // none.
-  std::optional<tcp::socket> take(const endpoint& to, const asio::any_io_executor& executor);
+  // \param unlike if set, sockets that were put with the same tag are left alone.
+  std::optional<tcp::socket> take(const endpoint& to, const asio::any_io_executor& executor,
+                                  const tag& unlike);
   // \pre the last response on the socket was read completely.
   // \param peer_timeout the peer's `Keep-Alive` timeout, if it sent one.
-  void put(const endpoint& to, tcp::socket idle, std::optional<duration> peer_timeout);
+  // \param last_tag the tag of the last request on the socket.
+  void put(const endpoint& to, tcp::socket idle, std::optional<duration> peer_timeout,
+           tag last_tag);
 
  private:
   struct idle_socket {
     tcp::socket socket;
     time_point usable_until;
+    tag last_tag;
   };
   using idle_list = std::vector<idle_socket>;
   struct shard {
@@ -45,7 +53,7 @@
   shard& shard_of(const endpoint& to) {
     return shards_.at(stable_hash(to.address, to.port) % shard_count);
   }
-  std::optional<tcp::socket> pop_idle(const endpoint& to);
+  std::optional<tcp::socket> pop_idle(const endpoint& to, const tag& unlike);
 
   idle_connections limits_;
   system_clock time_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -99,7 +99,7 @@
   asio::awaitable<status<net_failure>> connect() {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     if (limits_.reuse_connection) {
-      if (auto idle = pool_->take(to_, executor)) {
+      if (auto idle = pool_->take(to_, executor, limits_.request_tag)) {
         stream_ = std::make_unique<beast::tcp_stream>(std::move(*idle));
         co_return ok;
       }
@@ -252,7 +252,8 @@
     }
     stream_->expires_never();
     pool_->put(to_, stream_->release_socket(),
-               parse_keep_alive_timeout(parser_->get()[http::field::keep_alive]));
+               parse_keep_alive_timeout(parser_->get()[http::field::keep_alive]),
+               limits_.request_tag);
   }
 
   std::shared_ptr<connection_pool> pool_;
@@ -329,7 +330,7 @@
     }
     stream.expires_never();
     stream.socket().set_option(tcp::no_delay(true), error);
-    pool_->put(to, stream.release_socket(), std::nullopt);
+    pool_->put(to, stream.release_socket(), std::nullopt, std::nullopt);
     co_return connect_check::accepted;
   }
 
--- a/tests/gateway/broken_response_test.cpp
+++ b/tests/gateway/broken_response_test.cpp
@@ -281,5 +281,40 @@
   }
 }
 
+// The ids of two attempts should differ; where a caller repeats one, or sends none, an answer on a
+// kept connection can't be told from one to the request before.
+TEST_THAT(repeated_refusal, does_not_answer_a_request_with_the_same_id_or_none) {
+  for (const std::string id : {"1", ""}) {
+    std::atomic<int> executed{0};
+    raw_server server([&](raw_connection& peer) {
+      bool refused = false;
+      while (true) {
+        const std::string head = peer.read_head();
+        if (head.empty()) {
+          return;
+        }
+        peer.write(refusal(id));
+        if (refused) {
+          ++executed;
+        }
+        refused = true;
+      }
+    });
+    gateway_fixture fixture;
+    fixture.list("s1", "stations", server.address());
+    fixture.start();
+    for (int number = 0; number < 2; ++number) {
+      http_request request = make_request("POST", "/order/", id);
+      if (id.empty()) {
+        std::erase_if(request.headers,
+                      [](const auto& each) { return each.first == "X-Attempt-Id"; });
+      }
+      const http_response seen = fixture.expect_response(std::move(request));
+      CPPUNIT_ASSERT_MESSAGE(id, seen.status == 503 || seen.status == 502);
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 0, executed.load());
+  }
+}
+
 }  // namespace
 }  // namespace hawthornnotch::test
