--- a/include/hawthornnotch/quarantine/suspect_table.h
+++ b/include/hawthornnotch/quarantine/suspect_table.h
@@ -30,13 +30,13 @@
   duration age;
 };
 
-/// A fingerprint that was quarantined or released.
+/// A suspect that was quarantined or released.
 struct quarantine_change {
   fingerprint what;
   bool quarantined = false;
-  /// Crashes of servers at which a request with it waited, and how many of them no success of
-  /// another request contradicts.
+  /// Known crashes of servers at which a request with it waited.
   std::size_t crashes = 0;
+  /// Those of them that are later than its last success.
   std::size_t open_crashes = 0;
 };
 
@@ -96,6 +96,9 @@
   };
   using suspects = std::map<fingerprint, suspect>;
 
+  [[nodiscard]] success_memory& successes_of(suspect_kind kind) {
+    return kind == suspect_kind::prompt_part ? successful_parts_ : successful_requests_;
+  }
   [[nodiscard]] suspect& find_or_add(const fingerprint& what, time_point now);
   /// \returns whether it cleared the suspect of a crash or is its first success.
   bool add_success(suspect& known, time_point at);
@@ -115,11 +118,7 @@
   void make_room();
 
   suspects suspects_;
-  [[nodiscard]] success_memory& successes_of(suspect_kind kind) {
-    return kind == suspect_kind::prompt_part ? successful_parts_ : successful_requests_;
-  }
-
-  // One each, since the many requests would displace the parts.
+  /// One each, since the many requests would displace the parts.
   success_memory successful_parts_;
   success_memory successful_requests_;
   std::vector<quarantine_change> changes_;
--- a/tests/dispatch/server_limits_soak_test.cpp
+++ b/tests/dispatch/server_limits_soak_test.cpp
@@ -1,21 +1,14 @@
 // Restarts, freezes, cuts, bursts and changes of a limit in random series that overlap.
 // HAWTHORNNOTCH_SOAK_SEEDS sets the number of seeds.
 #include <array>
-#include <cstdlib>
 
 #include "limited_fleet.h"
+#include "soak_seeds.h"
 #include "test_case.h"
 
 namespace hawthornnotch::dispatch {
 namespace {
 
-constexpr std::uint64_t default_seeds = 6;
-
-std::uint64_t seeds_to_run() {
-  const char* text = std::getenv("HAWTHORNNOTCH_SOAK_SEEDS");
-  return text == nullptr ? default_seeds : std::stoull(text);
-}
-
 // Does one random thing to the fleet.
 class soak_driver {
  public:
@@ -107,7 +100,7 @@
 }
 
 TEST_THAT(server_limit, holds_in_a_seeded_soak) {
-  for (std::uint64_t seed = 1; seed <= seeds_to_run(); ++seed) {
+  for (std::uint64_t seed = 1; seed <= test::seeds_to_run(); ++seed) {
     soak(seed);
   }
 }
--- a/tests/quarantine/quarantine_soak_test.cpp
+++ b/tests/quarantine/quarantine_soak_test.cpp
@@ -1,22 +1,15 @@
 // A seeded soak: crashing parts and requests beside restarts, freezes, cuts and crashes of another
 // cause that overlap.  HAWTHORNNOTCH_SOAK_SEEDS sets the number of seeds.
 #include <array>
-#include <cstdlib>
 #include <string>
 
 #include "crashing_fleet.h"
+#include "soak_seeds.h"
 #include "test_case.h"
 
 namespace hawthornnotch::quarantine {
 namespace {
 
-constexpr std::uint64_t default_seeds = 6;
-
-std::uint64_t seeds_to_run() {
-  const char* text = std::getenv("HAWTHORNNOTCH_SOAK_SEEDS");
-  return text == nullptr ? default_seeds : std::stoull(text);
-}
-
 // Draws what happens next to the fleet.
 class soak_driver {
  public:
@@ -104,7 +97,7 @@
 }
 
 TEST_THAT(quarantine, is_bounded_in_a_seeded_soak) {
-  for (std::uint64_t seed = 1; seed <= seeds_to_run(); ++seed) {
+  for (std::uint64_t seed = 1; seed <= test::seeds_to_run(); ++seed) {
     soak(seed);
   }
 }
