Tell peers at once of quarantines alone, not of each second crash

Callers got late answers in crash waves that have nothing to do with a request. Cause: two crashes against any suspect were told to six peers at once, which told six others. In a wave popular parts stand beside many crashes, so each VM sent as many such messages as the interval allows. Evidence: waves_of_crashes::cause_no_urgent_messages failed before, with 270 such messages at 8 VMs and none expected. Crashes now travel with the regular exchanges; a quarantine and a release are told at once, as before.

--- a/include/hawthornnotch/quarantine/suspect_table.h
+++ b/include/hawthornnotch/quarantine/suspect_table.h
@@ -78,7 +78,8 @@
   /// \returns up to `count` suspicions to gossip: those changed lately, then quarantined ones in
   /// turn over successive calls.
   [[nodiscard]] std::vector<suspicion> suspicions_to_gossip(std::size_t count);
-  /// \returns whether something was learned since the last call that peers should be told at once.
+  /// \returns whether something was quarantined or released since the last call; peers should be
+  /// told at once.
   [[nodiscard]] bool take_news();
   /// \returns the changes since the last call.
   [[nodiscard]] std::vector<quarantine_change> take_changes();
@@ -103,8 +104,6 @@
   /// \returns whether it cleared the suspect of a crash or is its first success.
   bool add_success(suspect& known, time_point at);
   bool merge_one(const suspicion& theirs, time_point now);
-  /// Gossips a change, at once if several crashes speak against the suspect.
-  void mark_changed(suspect& known);
   /// Decides anew which suspects are quarantined.
   void evaluate();
   /// Takes the suspect to be quarantined next out of `open`.  \returns it; null if there is none.
--- a/src/quarantine/suspect_table.cpp
+++ b/src/quarantine/suspect_table.cpp
@@ -17,8 +17,6 @@
 constexpr duration retention{300'000};
 /// Messages in which a change is gossiped.
 constexpr std::uint32_t gossip_repeats = 10;
-/// A suspect with this many crashes is worth telling peers at once.
-constexpr std::size_t notable_crashes = 2;
 /// Clocks may differ by this; a later time in a message is not believed.
 constexpr duration max_clock_lead{1'000};
 /// Time from the last crash to the first request that is sent in spite of the quarantine; it
@@ -53,11 +51,6 @@
   return added;
 }
 
-void suspect_table::mark_changed(suspect& known) {
-  known.gossip_left = gossip_repeats;
-  news_ = news_ || internal::open_crashes(known.evidence).size() >= notable_crashes;
-}
-
 void suspect_table::record_crash(std::uint32_t server, std::span<const fingerprint> carried,
                                  time_point now) {
   drop_expired(now);
@@ -67,7 +60,7 @@
     known.evidence.position = std::max(known.evidence.position, position++);
     known.evidence.last_seen = now;
     if (internal::add_crash(known.evidence, {server, now})) {
-      mark_changed(known);
+      known.gossip_left = gossip_repeats;
     }
   }
   evaluate();
@@ -80,12 +73,10 @@
   }
   const std::size_t before = internal::open_crashes(evidence).size();
   const bool first = !evidence.last_success;
-  const bool notable = before >= notable_crashes;
   evidence.last_success = at;
   const bool cleared = internal::open_crashes(evidence).size() < before;
   if (cleared || first) {
     known.gossip_left = gossip_repeats;
-    news_ = news_ || notable;
   }
   return cleared || first;
 }
@@ -129,7 +120,7 @@
     changed = (each.at <= latest && internal::add_crash(evidence, each)) || changed;
   }
   if (changed) {
-    mark_changed(known);
+    known.gossip_left = gossip_repeats;
   }
   if (theirs.last_success) {
     changed = add_success(known, std::min(*theirs.last_success, latest)) || changed;
--- a/tests/quarantine/crashing_fleet.cpp
+++ b/tests/quarantine/crashing_fleet.cpp
@@ -219,6 +219,7 @@
     }
     each.news_at = now_;
     for (std::size_t count = 0; count < news_fanout; ++count) {
+      ++urgent_messages_;
       exchange(vm, random_.below(vms_.size()));
     }
   }
--- a/tests/quarantine/crashing_fleet.h
+++ b/tests/quarantine/crashing_fleet.h
@@ -74,6 +74,8 @@
   [[nodiscard]] std::size_t quarantined_at(std::size_t vm) const {
     return vms_[vm].table.quarantined_count();
   }
+  // \returns the number of messages that were sent at once, beside the regular ones.
+  [[nodiscard]] std::size_t urgent_messages() const { return urgent_messages_; }
   suspect_table& table(std::size_t vm) { return vms_[vm].table; }
   [[nodiscard]] time_point now() const { return now_; }
 
@@ -131,6 +133,7 @@
   std::size_t deadly_crashes_ = 0;
   std::optional<time_point> bound_;
   std::size_t arrivals_after_bound_ = 0;
+  std::size_t urgent_messages_ = 0;
   ratio sound_;
   ratio companions_;
 };
--- a/tests/quarantine/crashing_part_test.cpp
+++ b/tests/quarantine/crashing_part_test.cpp
@@ -72,6 +72,21 @@
   }
 }
 
+// Such messages are for quarantines; crashes of another cause would bring one for each server and
+// VM.
+TEST_THAT(waves_of_crashes, cause_no_urgent_messages) {
+  for (const std::size_t vms : {8, 91}) {
+    fleet_options options = options_for(vms, 0, vms);
+    crashing_fleet fleet(options);
+    for (int wave = 0; wave < 4; ++wave) {
+      fleet.run_for(3_s);
+      fleet.crash_servers(0.4);
+    }
+    fleet.run_for(3_s);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(describe(options), std::size_t{0}, fleet.urgent_messages());
+  }
+}
+
 TEST_THAT(crashing_part, stays_refused_by_vms_that_restart_freeze_or_are_cut_off) {
   for (const std::size_t vms : {8, 91}) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
