Gossip no single crash of a request that has succeeded since

In a wave of crashes each request that waited becomes a suspect with one crash, and mostly succeeds at its next server within a second. Telling all entry VMs of the success doubled the messages about it; its caller has its answer and does not send it again. If other crashes follow, the VM that saw the success merges them and gossips both. suspect_table::gossips_no_single_crash_of_a_request_that_succeeded_since failed before (two suspicions, one expected); quarantine_test: 27 passed, 0 failed.

--- a/src/quarantine/suspect_table.cpp
+++ b/src/quarantine/suspect_table.cpp
@@ -76,7 +76,9 @@
   evidence.last_success = at;
   const bool cleared = internal::open_crashes(evidence).size() < before;
   if (cleared || first) {
-    known.gossip_left = gossip_repeats;
+    // A request that succeeded is not sent again, so its single crash concerns no peer.
+    const bool settled = evidence.what.kind == suspect_kind::request && before <= 1;
+    known.gossip_left = settled ? 0 : gossip_repeats;
   }
   return cleared || first;
 }
--- a/tests/quarantine/suspect_table_test.cpp
+++ b/tests/quarantine/suspect_table_test.cpp
@@ -190,6 +190,20 @@
   CPPUNIT_ASSERT(table.find_quarantined(with_crashing_part, {}, now));
 }
 
+// The caller has its answer and does not send the request again.
+TEST_THAT(suspect_table, gossips_no_single_crash_of_a_request_that_succeeded_since) {
+  const fingerprint request{suspect_kind::request, digest_of("order")};
+  constexpr std::size_t all = 100;
+  suspect_table table;
+  table.record_crash(1, std::vector{part(1), request}, start);
+  table.record_success(std::vector{part(1), request}, start + 1_s);
+  const auto gossiped = table.suspicions_to_gossip(all);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gossiped.size());
+  CPPUNIT_ASSERT(gossiped.front().what == part(1));
+  table.record_crash(2, std::vector{request}, start + 2_s);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.suspicions_to_gossip(all).size());
+}
+
 TEST_THAT(suspect_table, believes_no_time_in_the_future) {
   suspect_table table;
   const time_point now = record_crashes(table, 4);
