--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -26,17 +26,23 @@
   current_counts(service, now).requests.push_back(now);
 }
 
-bool retry_budget::take(std::string_view service, std::size_t entry_vms, time_point now) {
+retry_decision retry_budget::take(std::string_view service, std::size_t entry_vms,
+                                  time_point now) {
   counts& counted = current_counts(service, now);
   const double own_slack =
       settings_.slack / static_cast<double>(std::max<std::size_t>(entry_vms, 1));
   const double earned = settings_.ratio * static_cast<double>(counted.requests.size());
-  const double allowed = settings_.safety_factor * (earned + own_slack);
-  if (static_cast<double>(counted.retries.size() + 1) > allowed) {
-    return false;
+  retry_decision decision;
+  decision.allowance = settings_.safety_factor * (earned + own_slack);
+  decision.requests = counted.requests.size();
+  decision.entry_vms = entry_vms;
+  decision.account_age = now - started_at_;
+  decision.allowed = static_cast<double>(counted.retries.size() + 1) <= decision.allowance;
+  if (decision.allowed) {
+    counted.retries.push_back(now);
   }
-  counted.retries.push_back(now);
-  return true;
+  decision.retries = counted.retries.size();
+  return decision;
 }
 
 }  // namespace hawthornnotch::dispatch
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -32,7 +32,7 @@
         servers(servers::server_list_settings{}),
         peers(std::move(self), settings.seeds, relay::peer_set_settings{}),
         dispatcher(servers, settings.failure_domain, seed),
-        retries(settings.retries),
+        retries(settings.retries, time.now()),
         metrics(observe::metrics::create(max_series)) {}
 
   static constexpr std::size_t max_series = 2'000;
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -206,11 +206,17 @@
 
 bool proxied_request::consume_retry() {
   const time_point now = shared_.time.now();
-  const bool allowed = shared_.retries.take(service_, shared_.peers.live_count(now), now);
-  if (!allowed) {
-    log_event(level::info, "retry_denied", {{"request_id", request_.id}, {"service", service_}});
-  }
-  return allowed;
+  const dispatch::retry_decision decision =
+      shared_.retries.take(service_, shared_.peers.live_count(now), now);
+  log_event(level::info, decision.allowed ? "retry_allowed" : "retry_denied",
+            {{"request_id", request_.id},
+             {"service", service_},
+             {"retries", decision.retries},
+             {"allowance", decision.allowance},
+             {"requests", decision.requests},
+             {"entry_vms", decision.entry_vms},
+             {"account_age_ms", decision.account_age.ms}});
+  return decision.allowed;
 }
 
 net::exchange_limits proxied_request::limits_for(const dispatch::placement& to) {
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -398,19 +398,19 @@
   settings.ratio = 0.2;
   settings.slack = 12;
   settings.safety_factor = 1.0;
-  retry_budget budget(settings);
   const time_point now{1'000'000};
+  retry_budget budget(settings, now - 60_s);
   for (int request = 0; request < 50; ++request) {
     budget.on_request("forecast", now);
   }
   constexpr std::size_t entry_vms = 6;
   int allowed = 0;
-  while (budget.take("forecast", entry_vms, now)) {
+  while (budget.take("forecast", entry_vms, now).allowed) {
     ++allowed;
   }
   CPPUNIT_ASSERT_EQUAL(12, allowed);
-  CPPUNIT_ASSERT(!budget.take("forecast", entry_vms, now + 9_s));
-  CPPUNIT_ASSERT(budget.take("forecast", entry_vms, now + 10_s + 1_ms));
+  CPPUNIT_ASSERT(!budget.take("forecast", entry_vms, now + 9_s).allowed);
+  CPPUNIT_ASSERT(budget.take("forecast", entry_vms, now + 10_s + 1_ms).allowed);
 }
 
 // With many long prompts and many gap-sensitive streams at once, most of the streams would be late
--- a/tests/dispatch/retry_budget_cut_test.cpp
+++ b/tests/dispatch/retry_budget_cut_test.cpp
@@ -37,9 +37,9 @@
       message.from = make_vm(other);
       peers.merge_message(message, same_side ? cut : known_at);
     }
-    retry_budget budget(settings);
+    retry_budget budget(settings, time_point{0});
     for (int attempt = 0; attempt < attempts; ++attempt) {
-      retries += budget.take("forecast", peers.live_count(cut), cut) ? 1 : 0;
+      retries += budget.take("forecast", peers.live_count(cut), cut).allowed ? 1 : 0;
     }
   }
   CPPUNIT_ASSERT_MESSAGE(std::to_string(retries) + " retries", retries <= 52);
