Grant no retry again that an ended process may have spent

Cause: a process's account of requests and retries dies with it, and its successor begins with the whole of its part of the slack and earns anew for the window that has been spent; the callers of a VM that ends come to others, where they earn once more.

--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -81,6 +81,9 @@
   /// \returns the hashes of the names of all other entry VMs that are remembered, dead ones
   /// included: a dead VM cannot be told from one that is cut off and still sends requests.
   [[nodiscard]] std::vector<std::uint64_t> known_hashes() const;
+  /// \returns when a peer was last found ended, restarted, leaving or out of reach, by
+  /// `take_changes` or an exchange: its callers may have come to this VM; none so far.
+  [[nodiscard]] std::optional<time_point> disrupted_at() const { return disrupted_at_; }
   /// \returns the peers that became alive or dead since the last call.
   [[nodiscard]] peer_changes take_changes(time_point now);
   /// \returns the rank of this entry VM in the order in which live VMs read the store.
@@ -114,7 +117,7 @@
 
   /// \param direct whether the peer itself sent it.
   known_peer* merge_peer(const peer& about, bool direct, time_point now);
-  static void update_peer(known_peer& known, const peer& about, bool direct, time_point now);
+  void update_peer(known_peer& known, const peer& about, bool direct, time_point now);
   /// \returns how long a heartbeat may stand still before the peer counts as dead.
   [[nodiscard]] duration heartbeat_timeout() const;
   [[nodiscard]] const endpoint& next_round_robin(std::span<const known_peer* const> candidates);
@@ -130,6 +133,7 @@
   std::map<std::string, known_peer, std::less<>> peers_;
   std::string last_contact_;
   std::uint64_t contacts_ = 0;
+  std::optional<time_point> disrupted_at_;
 };
 
 }  // namespace hawthornnotch::relay
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -206,14 +206,15 @@
 
 bool proxied_request::consume_retry() {
   const time_point now = shared_.time.now();
-  const dispatch::retry_decision decision =
-      shared_.retries.take(service_, shared_.peers.live_count(now), now);
+  const dispatch::budget_share share{shared_.peers.live_count(now), shared_.peers.disrupted_at()};
+  const dispatch::retry_decision decision = shared_.retries.take(service_, share, now);
   log_event(level::info, decision.allowed ? "retry_allowed" : "retry_denied",
             {{"request_id", request_.id},
              {"service", service_},
              {"retries", decision.retries},
              {"allowance", decision.allowance},
              {"requests", decision.requests},
+             {"proven_requests", decision.proven_requests},
              {"entry_vms", decision.entry_vms},
              {"account_age_ms", decision.account_age.ms}});
   return decision.allowed;
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -69,6 +69,9 @@
 // Forwarded state may omit a peer's work; the last known work is then kept.
 void peer_set::update_peer(known_peer& known, const peer& about, bool direct, time_point now) {
   const bool same_incarnation = known.about.incarnation == about.incarnation;
+  if (!same_incarnation && !known.about.incarnation.empty()) {
+    disrupted_at_ = now;
+  }
   const bool has_work = direct || !about.work.empty() || !same_incarnation;
   std::vector<server_work> previous_work = std::move(known.about.work);
   known.about = about;
@@ -99,6 +102,7 @@
 void peer_set::contact_failed(const endpoint& address, time_point now) {
   for (auto& [vm, known] : peers_) {
     if (known.about.address == address) {
+      disrupted_at_ = alive(known, now) ? now : disrupted_at_;
       known.skip_until = now + failure_skip_time;
     }
   }
@@ -213,6 +217,9 @@
     }
     known.reported_alive = now_alive;
   }
+  if (!changes.lost.empty()) {
+    disrupted_at_ = now;
+  }
   return changes;
 }
 
--- a/tests/dispatch/budget_fleet.cpp
+++ b/tests/dispatch/budget_fleet.cpp
@@ -95,8 +95,8 @@
 }
 
 bool budget_fleet::reaches(std::size_t from, std::size_t to) const {
-  const bool same_side = partitioned_.contains(vms_[from].domain) ==
-                         partitioned_.contains(vms_[to].domain);
+  const bool same_side =
+      partitioned_.contains(vms_[from].domain) == partitioned_.contains(vms_[to].domain);
   return runs(to) && same_side;
 }
 
@@ -140,6 +140,7 @@
 void budget_fleet::exchange(std::size_t vm) {
   entry_vm& from = *vms_[vm].process;
   const time_point from_now = now_ - from.clock_lag;
+  (void)from.peers.take_changes(from_now);
   const auto next = from.peers.next_contact(from_now, from.random);
   if (!next) {
     return;
@@ -176,7 +177,8 @@
     const time_point to_now = now_ - to.clock_lag;
     to.budget.on_request(service, to_now);
     for (std::size_t retry = 0; retries_wanted_ && retry < retries_wanted_per_request; ++retry) {
-      if (to.budget.take(service, to.peers.live_count(to_now), to_now).allowed) {
+      const budget_share share{to.peers.live_count(to_now), to.peers.disrupted_at()};
+      if (to.budget.take(service, share, to_now).allowed) {
         retries_.push_back(now_);
       }
     }
@@ -219,7 +221,8 @@
 }
 
 double budget_fleet::used_fraction(duration span) const {
-  const double windows = static_cast<double>(span.ms) / static_cast<double>(settings_.budget.window.ms);
+  const double windows =
+      static_cast<double>(span.ms) / static_cast<double>(settings_.budget.window.ms);
   const double requests = static_cast<double>(count_between(requests_, now_ - span, now_));
   const double allowed = settings_.budget.ratio * requests + settings_.budget.slack * windows;
   return static_cast<double>(retries_within(span)) / allowed;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -403,14 +403,14 @@
   for (int request = 0; request < 50; ++request) {
     budget.on_request("forecast", now);
   }
-  constexpr std::size_t entry_vms = 6;
+  const budget_share share{6, std::nullopt};
   int allowed = 0;
-  while (budget.take("forecast", entry_vms, now).allowed) {
+  while (budget.take("forecast", share, now).allowed) {
     ++allowed;
   }
   CPPUNIT_ASSERT_EQUAL(12, allowed);
-  CPPUNIT_ASSERT(!budget.take("forecast", entry_vms, now + 9_s).allowed);
-  CPPUNIT_ASSERT(budget.take("forecast", entry_vms, now + 10_s + 1_ms).allowed);
+  CPPUNIT_ASSERT(!budget.take("forecast", share, now + 9_s).allowed);
+  CPPUNIT_ASSERT(budget.take("forecast", share, now + 10_s + 1_ms).allowed);
 }
 
 // With many long prompts and many gap-sensitive streams at once, most of the streams would be late
--- a/tests/dispatch/retry_budget_cut_test.cpp
+++ b/tests/dispatch/retry_budget_cut_test.cpp
@@ -39,7 +39,9 @@
     }
     retry_budget budget(settings, time_point{0});
     for (int attempt = 0; attempt < attempts; ++attempt) {
-      retries += budget.take("forecast", peers.live_count(cut), cut).allowed ? 1 : 0;
+      retries += budget.take("forecast", {peers.live_count(cut), peers.disrupted_at()}, cut).allowed
+                     ? 1
+                     : 0;
     }
   }
   CPPUNIT_ASSERT_MESSAGE(std::to_string(retries) + " retries", retries <= 52);
