--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -443,6 +443,8 @@
 void gateway_fixture::start_vm(std::string vm, std::vector<endpoint> seeds) {
   launch(std::move(vm), std::move(seeds));
   await([this] { return readiness() == 200; });
+  // A process younger than the window has no part of the slack.
+  std::this_thread::sleep_for(std::chrono::milliseconds(retries_.window.ms));
 }
 
 void gateway_fixture::start_without_store() {
