Log the software version of each send, and what a caller's take-up names

Versions are gossiped with the server list only to peers that announce that they understand them; the list's digest leaves them out, so that both releases agree on it. A process with a peers' port of 0 now tells the port that it got.

--- a/include/hawthornnotch/gateway/protocol.h
+++ b/include/hawthornnotch/gateway/protocol.h
@@ -33,6 +33,8 @@
   std::optional<duration> time_left;
   /// Set if the caller resumes a broken stream.
   std::optional<std::uint64_t> last_event_id;
+  /// Id of the attempt that brought the first event of the resumed stream; empty if none was sent.
+  std::string resumed_attempt;
   dispatch::prompt_shape prompt;
 };
 
--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -67,6 +67,8 @@
   void merge_store_entry(const peer& about, time_point now) { merge_peer(about, false, now); }
   /// Records that an exchange with this address failed; the peer is skipped for a while.
   void contact_failed(const endpoint& address, time_point now);
+  /// Sets the address at which peers reach this process, once its port is known.
+  void set_own_address(endpoint address) { self_.address = std::move(address); }
   /// Marks this process as leaving; peers learn it with the next exchange.
   void leave() { self_.leaving = true; }
   /// Replaces the seeds, e.g. after a reload of the settings.
--- a/include/hawthornnotch/servers/server_entry.h
+++ b/include/hawthornnotch/servers/server_entry.h
@@ -18,6 +18,8 @@
   /// Start time, Unix time in milliseconds; identifies the incarnation of an id; 0 if unknown.
   std::int64_t start_time_ms = 0;
   std::string service;
+  /// Version of its software; empty if unknown.
+  std::string software_version;
   endpoint address;
   std::string failure_domain;
   /// Requests that the server runs concurrently.
@@ -27,7 +29,8 @@
   bool operator==(const server_entry&) const = default;
 };
 
-/// \returns a hash of the entries; VMs with equal entries in the same order compute the same value.
+/// \returns a hash of the entries, less their software versions, which VMs of an earlier release do
+/// not know and which an incarnation never changes; VMs with equal entries in the same order compute the same value.
 std::uint64_t digest_of(const std::vector<server_entry>& entries);
 
 }  // namespace hawthornnotch::servers
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -120,6 +120,7 @@
         return failed{bound->last_reason()};
       }
     }
+    shared_.peers.set_own_address({settings.peers.address, peers_->port()});
     return ok;
   }
 
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -33,6 +33,7 @@
 constexpr std::string_view features_header = "Exchange-Features";
 constexpr std::string_view limits_feature = "limits";
 constexpr std::string_view suspicions_feature = "suspicions";
+constexpr std::string_view software_versions_feature = "software-versions";
 /// Number of suspicions in one message; later messages hold the others.
 constexpr std::size_t max_suspicions_per_message = 16;
 /// Minimum time between two rounds of exchanges about crashes.
@@ -44,7 +45,8 @@
 
 net::header_list own_features() {
   return {{std::string(features_header), std::string(limits_feature)},
-          {std::string(features_header), std::string(suspicions_feature)}};
+          {std::string(features_header), std::string(suspicions_feature)},
+          {std::string(features_header), std::string(software_versions_feature)}};
 }
 
 result<relay::exchange_message, relay::codec_failure> decode(std::string_view compressed) {
@@ -115,6 +117,8 @@
     if (name == features_header) {
       announced.limits = announced.limits || value == limits_feature;
       announced.suspicions = announced.suspicions || value == suspicions_feature;
+      announced.software_versions =
+          announced.software_versions || value == software_versions_feature;
     }
   }
   return announced;
@@ -137,7 +141,7 @@
   // Composed only to be sent, since it takes what is gossiped a limited number of times.
   if (lacks_config(*answer) || lacks_list(*answer)) {
     relay::exchange_message follow_up = compose_message(features_of(to));
-    add_missing(follow_up, *answer);
+    add_missing(follow_up, *answer, features_of(to));
     std::ignore = co_await send(to, follow_up);
   }
 }
@@ -182,8 +186,9 @@
     response.status = 400;
   } else {
     apply_message(*message);
-    relay::exchange_message answer = compose_message(announced_features(request.headers));
-    add_missing(answer, *message);
+    const peer_features understood = announced_features(request.headers);
+    relay::exchange_message answer = compose_message(understood);
+    add_missing(answer, *message, understood);
     response.body = net::deflate(relay::encode(answer));
   }
   std::ignore = co_await writer.send(std::move(response));
@@ -228,13 +233,18 @@
   return newer && theirs.list_digest != shared_.servers.digest();
 }
 
-void peer_link::add_missing(relay::exchange_message& message,
-                            const relay::exchange_message& theirs) const {
+void peer_link::add_missing(relay::exchange_message& message, const relay::exchange_message& theirs,
+                            const peer_features& understood) const {
   if (lacks_config(theirs)) {
     message.config = shared_.config_text;
   }
   if (lacks_list(theirs)) {
     message.list = shared_.servers.newest()->entries;
+    if (!understood.software_versions) {
+      for (servers::server_entry& each : *message.list) {
+        each.software_version.clear();
+      }
+    }
   }
 }
 
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -55,6 +55,7 @@
   struct peer_features {
     bool limits = false;
     bool suspicions = false;
+    bool software_versions = false;
   };
   static peer_features announced_features(const net::header_list& headers);
   [[nodiscard]] peer_features features_of(const endpoint& peer) const;
@@ -64,7 +65,8 @@
   [[nodiscard]] bool lacks_config(const relay::exchange_message& theirs) const;
   [[nodiscard]] bool lacks_list(const relay::exchange_message& theirs) const;
   // Adds the configuration and the server list if `theirs` shows older ones.
-  void add_missing(relay::exchange_message& message, const relay::exchange_message& theirs) const;
+  void add_missing(relay::exchange_message& message, const relay::exchange_message& theirs,
+                   const peer_features& understood) const;
 
   gateway_state& shared_;
   state_updater& updater_;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -87,13 +87,17 @@
 }
 
 json::object to_json(const servers::server_entry& entry) {
-  return {{"id", entry.id},
-          {"born", entry.start_time_ms},
-          {"service", entry.service},
-          {"address", to_text(entry.address)},
-          {"domain", entry.failure_domain},
-          {"slots", entry.slots},
-          {"leaving", entry.leaving}};
+  json::object out{{"id", entry.id},
+                   {"born", entry.start_time_ms},
+                   {"service", entry.service},
+                   {"address", to_text(entry.address)},
+                   {"domain", entry.failure_domain},
+                   {"slots", entry.slots},
+                   {"leaving", entry.leaving}};
+  if (!entry.software_version.empty()) {
+    out["version"] = entry.software_version;
+  }
+  return out;
 }
 
 server_work read_work(const json::object& object, bool& good) {
@@ -173,6 +177,9 @@
   out.slots = static_cast<std::uint32_t>(
       reader->integer("slots", {0, std::numeric_limits<std::uint32_t>::max()}));
   out.leaving = reader->boolean("leaving");
+  if (reader->has("version")) {
+    out.software_version = reader->text("version");
+  }
   return out;
 }
 
--- a/src/servers/server_list.cpp
+++ b/src/servers/server_list.cpp
@@ -66,7 +66,12 @@
     if (entry.leaving && !was_leaving) {
       change.leaving.push_back(entry.id);
     }
+    std::string known_version = std::move(known.entry.software_version);
     known.entry = entry;
+    if (entry.software_version.empty() && !is_new_incarnation) {
+      // The list came from a VM of an earlier release.
+      known.entry.software_version = std::move(known_version);
+    }
     known.entry.leaving = entry.leaving || was_leaving;
     known.listed = true;
   }
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -393,10 +393,14 @@
   std::ignore = co_await writer.finish();
 }
 
-asio::awaitable<void> stream_two_and_abort(const http_request& request,
-                                           net::response_writer& writer) {
+asio::awaitable<void> stream_two(const http_request& request, net::response_writer& writer) {
   constexpr std::uint64_t last = 2;
   co_await write_events(request, writer, last);
+}
+
+asio::awaitable<void> stream_two_and_abort(const http_request& request,
+                                           net::response_writer& writer) {
+  co_await stream_two(request, writer);
   writer.abort();
 }
 
@@ -453,6 +457,13 @@
   launch("entry-1", {});
 }
 
+void gateway_fixture::restart() {
+  gateway_->begin_stop();
+  thread_.join();
+  gateway_.reset();
+  start();
+}
+
 void gateway_fixture::launch(std::string vm, std::vector<endpoint> seeds) {
   gateway::gateway_settings settings;
   settings.vm = std::move(vm);
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -148,6 +148,8 @@
 boost::asio::awaitable<void> never_answer(const http_request& request,
                                           net::response_writer& writer);
 boost::asio::awaitable<void> stream_four(const http_request& request, net::response_writer& writer);
+// Leaves the answer open.
+boost::asio::awaitable<void> stream_two(const http_request& request, net::response_writer& writer);
 boost::asio::awaitable<void> stream_two_and_abort(const http_request& request,
                                                   net::response_writer& writer);
 // Leaves the connection open.
@@ -183,6 +185,8 @@
   void start(std::vector<endpoint> seeds = {});
   // As `start`, under a VM name of its own, for fleets of more than two.
   void start_vm(std::string vm, std::vector<endpoint> seeds);
+  // Ends the process and starts a new one without any state under the same VM name.
+  void restart();
   // Starts the gateway while the store is unavailable; requests wait for the store.
   void start_without_store();
   // Starts the gateway with an empty retry budget and waits until it is ready.
