--- /dev/null
+++ b/tests/gateway/joined_versions_test.cpp
@@ -0,0 +1,182 @@
+// Guards against streams that go on at another software version than the one that began them.
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <tuple>
+#include <vector>
+
+#include "gateway_fixture.h"
+#include "test_case.h"
+
+namespace hawthornnotch::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Lists a server with the version of its software.
+void list_version(gateway_fixture& fixture, const std::string& id, const endpoint& address,
+                  const std::string& version) {
+  fixture.store().put("servers/" + id, R"({"Service":"forecast","Address":"127.0.0.1:)" +
+                                           std::to_string(address.port) +
+                                           R"(","Zone":"zg-istok","Version":")" + version +
+                                           R"(","Slots":8,"State":"ready","born":1})");
+}
+
+fake_server& add_versioned(gateway_fixture& fixture, const std::string& id,
+                           const std::string& version, fake_server::behaviour answers) {
+  fake_server& server = fixture.add_server(id, "forecast", std::move(answers));
+  list_version(fixture, id, server.address(), version);
+  return server;
+}
+
+http_request make_stream(const std::string& id) { return make_request("POST", "/draft/", id); }
+
+// Takes the stream up after its second event.
+http_request make_resumption(const std::string& id, const std::string& resumed) {
+  http_request request = make_stream(id);
+  request.headers.emplace_back("Last-Event-Id", "2");
+  if (!resumed.empty()) {
+    request.headers.emplace_back("Resumes", resumed);
+  }
+  return request;
+}
+
+std::size_t resumptions_at(fake_server& server) {
+  const auto received = server.received();
+  return static_cast<std::size_t>(std::count_if(
+      received.begin(), received.end(),
+      [](const http_request& each) { return each.header("Last-Event-Id").has_value(); }));
+}
+
+constexpr int streams = 8;
+// Time after which an entry VM knows a change of the server list.
+constexpr milliseconds list_reading_time{2'500};
+
+// A server of another version starts while the stream runs, and the stream's own server fails.
+TEST_THAT(resumed_stream, goes_on_at_its_version_within_one_answer) {
+  gateway_fixture fixture;
+  fake_server& fresh = fixture.add_server("new", "stations", stream_four);
+  add_versioned(fixture, "old", "v1",
+                [&](const http_request& request,
+                    net::response_writer& writer) -> boost::asio::awaitable<void> {
+                  co_await stream_two(request, writer);
+                  list_version(fixture, "new", fresh.address(), "v2");
+                  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                                  list_reading_time);
+                  co_await timer.async_wait(boost::asio::use_awaitable);
+                  writer.abort();
+                });
+  fixture.start();
+  std::ignore = fixture.call(make_stream("a"));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fresh));
+}
+
+// Two entry VMs; streams begin at the first and are taken up at the second.
+struct two_vms {
+  two_vms() {
+    old_1 = &add_versioned(first, "old-1", "v1", stream_two_and_abort);
+    old_2 = &add_versioned(first, "old-2", "v1", stream_four);
+    fresh = &add_versioned(first, "new-1", "v2", stream_four);
+    list_at_second();
+    first.start();
+    second.start({first.peers()});
+    first.await([&] { return first.metric("hawthornnotch_live_entry_vms") == 2.0; });
+  }
+  void list_at_second() {
+    list_version(second, "old-1", old_1->address(), "v1");
+    list_version(second, "old-2", old_2->address(), "v1");
+    list_version(second, "new-1", fresh->address(), "v2");
+  }
+  gateway_fixture first;
+  gateway_fixture second;
+  fake_server* old_1 = nullptr;
+  fake_server* old_2 = nullptr;
+  fake_server* fresh = nullptr;
+};
+
+// \returns the version of the server at which a stream of this id began.
+bool began_at(fake_server& server, const std::string& id) {
+  const auto received = server.received();
+  return std::any_of(received.begin(), received.end(), [&](const http_request& each) {
+    return each.header("X-Attempt-Id") == id && !each.header("Last-Event-Id");
+  });
+}
+
+TEST_THAT(resumed_stream, goes_on_at_its_version_at_another_entry_vm) {
+  two_vms fleet;
+  std::vector<std::string> begun_new;
+  for (int number = 0; number < 3 * streams; ++number) {
+    const std::string id = "a" + std::to_string(number);
+    std::ignore = fleet.first.call(make_stream(id));
+    if (began_at(*fleet.fresh, id)) {
+      begun_new.push_back(id);
+    }
+  }
+  CPPUNIT_ASSERT(!begun_new.empty());
+  std::this_thread::sleep_for(milliseconds(200));
+  for (const std::string& id : begun_new) {
+    const auto answer = fleet.second.call(make_resumption("b" + id, id));
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT_EQUAL(200U, answer->status);
+  }
+  CPPUNIT_ASSERT_EQUAL(begun_new.size(), resumptions_at(*fleet.fresh));
+}
+
+// Nobody knows where the stream began, and two versions serve.
+TEST_THAT(resumed_stream, is_refused_if_its_version_is_unknown) {
+  two_vms fleet;
+  for (int number = 0; number < streams; ++number) {
+    const std::string id = std::to_string(number);
+    const auto answer = fleet.second.call(make_resumption("b" + id, "lost" + id));
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+  }
+  for (fake_server* server : {fleet.old_1, fleet.old_2, fleet.fresh}) {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(*server));
+  }
+}
+
+TEST_THAT(resumed_stream, goes_on_without_any_record_while_one_version_serves) {
+  gateway_fixture fixture;
+  fake_server& only = add_versioned(fixture, "only", "v1", stream_four);
+  fixture.start();
+  const auto answer = fixture.call(make_resumption("b", "a"));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(200U, answer->status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resumptions_at(only));
+}
+
+TEST_THAT(resumed_stream, is_refused_at_once_if_no_server_of_its_version_is_left) {
+  gateway_fixture fixture;
+  fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
+  fixture.start_without_retries();
+  std::ignore = fixture.call(make_stream("a"));
+  fake_server& fresh = add_versioned(fixture, "new", "v2", stream_four);
+  fixture.store().erase("servers/" + old_server.id());
+  fixture.await([&] {
+    return fixture.call(make_stream("probe"))->status == 200 && !fresh.received().empty();
+  });
+  const auto answer = fixture.call(make_resumption("b", "a"));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fresh));
+}
+
+// All entry VMs are killed at once, after the last server of the old version has left.
+TEST_THAT(resumed_stream, is_refused_after_a_restart_of_all_if_an_old_version_has_just_left) {
+  gateway_fixture fixture;
+  fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
+  fake_server& fresh = add_versioned(fixture, "new", "v2", stream_four);
+  fixture.start();
+  std::this_thread::sleep_for(list_reading_time);
+  fixture.store().erase("servers/" + old_server.id());
+  fixture.restart();
+  const auto answer = fixture.call(make_resumption("b", "a"));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fresh));
+}
+
+}  // namespace
+}  // namespace hawthornnotch::test
