--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -43,6 +43,8 @@
   duration time_left;
   /// Servers that were already tried for this request; they are not chosen again.
   std::span<const std::string> tried;
+  /// Software version of the servers that may be chosen; any if none.
+  std::optional<std::string_view> software_version;
   time_point now;
 };
 
@@ -78,6 +80,8 @@
   all_tried,
   /// Every available server has asked for a pause or names a limit that is used up.
   all_paused,
+  /// No available server has the software version that the query names.
+  no_server_of_version,
 };
 
 /// One attempt to run a request on a server, from `begin_attempt` to `end_attempt`.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -178,7 +178,12 @@
   }
   placement best;
   const internal::candidate* chosen = nullptr;
+  bool has_version = false;
   for (const internal::candidate& each : candidates) {
+    if (query.software_version && each.server->software_version != *query.software_version) {
+      continue;
+    }
+    has_version = true;
     const auto& tried = query.tried;
     if (std::find(tried.begin(), tried.end(), each.server->id) != tried.end()) {
       continue;
@@ -202,7 +207,8 @@
     }
   }
   if (chosen == nullptr) {
-    return failed{placement_failure::all_tried};
+    return failed{has_version ? placement_failure::all_tried
+                              : placement_failure::no_server_of_version};
   }
   best.server = *chosen->server;
   best.candidates = static_cast<std::uint32_t>(candidates.size());
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -128,6 +128,8 @@
   std::uint32_t refusals_ = 0;
   // No server was available, since all asked for a pause or are at their limit.
   bool all_paused_ = false;
+  // The stream has begun at this software version and goes on at no other.
+  std::optional<std::string> required_version_;
   // The request, or a part of it, is known to crash servers.
   bool quarantined_ = false;
   // A server may have received the request, so any further attempt needs the retry budget.
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -278,6 +278,9 @@
   if (!started) {
     co_return false;
   }
+  if (batch.count > 0 && !required_version_) {
+    required_version_ = placement_.server.software_version;
+  }
   events_ += batch.count;
   const bool written = co_await write_body(batch.text);
   co_return written;
