Take a stream up only at the version that began it

Cause: nothing read Resumes, and at which version a stream began was known, if at all, to the one process that began it.

While a service has more than one recent version, each VM tells the origins of its unfinished streams to three keepers and writes them to the platform's store under a lease; a take-up is tied to the version on record. Without a record it goes on only if one version alone has served for longer than a stream lasts; otherwise it is answered 503 at once, not run.

--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -92,6 +92,9 @@
   /// \returns when a peer was last found ended, restarted, leaving or out of reach, by
   /// `take_changes` or an exchange: its callers may have come to this VM; none so far.
   [[nodiscard]] std::optional<time_point> disrupted_at() const { return disrupted_at_; }
+  /// \returns the addresses of the first `count` of all remembered VMs in the rendezvous order of
+  /// `key`, without this one; all VMs with the same peers compute the same order.
+  [[nodiscard]] std::vector<endpoint> keepers_of(std::uint64_t key, std::size_t count) const;
   /// \returns the peers that became alive or dead since the last call.
   [[nodiscard]] peer_changes take_changes(time_point now);
   /// \returns the rank of this entry VM in the order in which live VMs read the store.
--- /dev/null
+++ b/include/hawthornnotch/streams/stream_record.h
@@ -0,0 +1,33 @@
+/// \file
+/// What an entry VM leaves in the platform's store for processes that start after all have ended.
+#ifndef HAWTHORNNOTCH_STREAMS_STREAM_RECORD_H_
+#define HAWTHORNNOTCH_STREAMS_STREAM_RECORD_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hawthornnotch/base/result.h"
+#include "hawthornnotch/streams/stream_origin.h"
+#include "hawthornnotch/streams/version_history.h"
+
+namespace hawthornnotch::streams {
+
+struct stream_record {
+  /// The recent versions of each service that has more than one.
+  version_sets recent_versions;
+  /// The unfinished streams of these services that began on the VM; ages are not kept.
+  std::vector<stream_origin> streams;
+  bool operator==(const stream_record&) const = default;
+};
+
+enum class record_failure : std::uint8_t { malformed };
+
+[[nodiscard]] std::string encode(const stream_record& record);
+/// \returns the record, with all ages 0; fails if anything in it is malformed.
+[[nodiscard]] result<stream_record, record_failure> decode_stream_record(std::string_view text);
+
+}  // namespace hawthornnotch::streams
+
+#endif  // HAWTHORNNOTCH_STREAMS_STREAM_RECORD_H_
--- /dev/null
+++ b/include/hawthornnotch/streams/version_history.h
@@ -0,0 +1,60 @@
+/// \file
+/// Which software versions of each service have served lately.
+#ifndef HAWTHORNNOTCH_STREAMS_VERSION_HISTORY_H_
+#define HAWTHORNNOTCH_STREAMS_VERSION_HISTORY_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hawthornnotch/base/clock.h"
+#include "hawthornnotch/servers/server_entry.h"
+
+namespace hawthornnotch::streams {
+
+/// Versions by service.
+using version_sets = std::map<std::string, std::set<std::string>, std::less<>>;
+
+/// Remembers each version until `max_stream_age` after its last server was listed: until then
+/// streams that it began may be resumed.
+///
+/// A process knows what was listed before its start only from another's record (`inherit`).
+///
+/// Example:
+///     history.observe(entries, now);
+///     if (history.is_mixed("forecast", now)) { ... }
+/// Ownership: a value.  Thread safety: none.
+class version_history {
+ public:
+  /// Takes the server list as it is now.
+  /// \returns the services in which a second version appeared.
+  std::vector<std::string> observe(std::span<const servers::server_entry> listed, time_point now);
+  /// Adds versions that had served by another process's record, as if removed now.
+  void inherit(const version_sets& recorded, time_point now);
+  /// \returns the versions whose streams may still be resumed.
+  [[nodiscard]] std::set<std::string> recent(std::string_view service, time_point now) const;
+  [[nodiscard]] bool is_mixed(std::string_view service, time_point now) const {
+    return recent(service, now).size() > 1;
+  }
+  /// \returns the recent versions of each service of which more than one is recent.
+  [[nodiscard]] version_sets mixed_services(time_point now) const;
+
+ private:
+  struct seen_version {
+    /// None while a server of the version is listed.
+    std::optional<time_point> removed_at;
+  };
+  using seen_versions = std::map<std::string, seen_version, std::less<>>;
+  [[nodiscard]] static std::set<std::string> recent_of(const seen_versions& versions,
+                                                       time_point now);
+
+  std::map<std::string, seen_versions, std::less<>> services_;
+};
+
+}  // namespace hawthornnotch::streams
+
+#endif  // HAWTHORNNOTCH_STREAMS_VERSION_HISTORY_H_
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,10 +15,12 @@
 #include "hawthornnotch/net/http_server.h"
 #include "hawthornnotch/observe/log.h"
 #include "limit_events.h"
+#include "origin_link.h"
 #include "peer_link.h"
 #include "proxied_request.h"
 #include "store_registration.h"
 #include "store_sync.h"
+#include "stream_records.h"
 
 namespace hawthornnotch::gateway {
 
@@ -71,9 +73,11 @@
   gateway_impl(gateway_settings settings, const protocol& wire)
       : shared_(settings, wire, make_own_peer(settings, system_clock()),
                 stable_hash(make_incarnation())),
-        updater_(shared_, {[this] { on_change(); }, [this] { on_restore(); }}),
+        updater_(shared_, {[this] { on_change(); }, [this] { on_restore(); },
+                           [this](auto services) { origins_.on_versions_mixed(services); }}),
         crashes_(shared_, context_.get_executor(), [this] { link_.spread_news(); }),
         link_(shared_, updater_, crashes_, context_.get_executor()),
+        origins_(shared_, context_.get_executor()),
         stop_timer_(context_) {
     shared_.http = net::http_client::create(idle_connection_limits());
     shared_.dispatcher.limits().start(shared_.settings.vm, shared_.time.now());
@@ -85,6 +89,7 @@
     config_.emplace(shared_, updater_, *store_, executor);
     list_.emplace(shared_, updater_, *store_, executor);
     registration_.emplace(shared_, *store_, executor);
+    versions_.emplace(shared_, *store_, executor);
     store_->on_era([this](std::int64_t era) { updater_.observe_era(era, "store"); });
     const gateway_settings& settings = shared_.settings;
     const net::server_limits limits = caller_limits();
@@ -104,7 +109,9 @@
       return answer_readiness(std::move(request), writer);
     };
     auto peers = [this](net::http_request request, net::response_writer& writer) {
-      return link_.handle_exchange(std::move(request), writer);
+      return origin_link::is_for_origins(request)
+                 ? origins_.handle(std::move(request), writer)
+                 : link_.handle_exchange(std::move(request), writer);
     };
     auto metrics = [this](net::http_request request, net::response_writer& writer) {
       return answer_metrics(std::move(request), writer);
@@ -128,6 +135,7 @@
     config_->start();
     list_->start();
     registration_->start();
+    versions_->start();
     link_.start();
     context_.run();
     return all_requests_finished_;
@@ -177,7 +185,8 @@
   }
 
   asio::awaitable<void> serve_caller(net::http_request request, net::response_writer& writer) {
-    proxied_request run(shared_, updater_, crashes_, writer, context_.get_executor());
+    proxied_request::stream_resumption resumption{origins_, *versions_};
+    proxied_request run(shared_, updater_, crashes_, resumption, writer, context_.get_executor());
     co_await run.run(std::move(request));
   }
 
@@ -280,10 +289,12 @@
   state_updater updater_;
   crash_guard crashes_;
   peer_link link_;
+  origin_link origins_;
   std::unique_ptr<platform::long_poll_store> store_;
   std::optional<config_watcher> config_;
   std::optional<server_list_poller> list_;
   std::optional<store_registration> registration_;
+  std::optional<stream_records> versions_;
   std::unique_ptr<net::http_server> callers_;
   std::unique_ptr<net::http_server> readiness_;
   std::unique_ptr<net::http_server> peers_;
--- a/src/gateway/gateway_error.cpp
+++ b/src/gateway/gateway_error.cpp
@@ -12,13 +12,14 @@
   unsigned status;
 };
 
-constexpr std::array<error_spec, 11> error_specs = {{
+constexpr std::array<error_spec, 12> error_specs = {{
     {"no_configuration", 503},
     {"no_route", 404},
     {"unknown_api_key", 401},
     {"no_server", 503},
     {"servers_refused", 503},
     {"overloaded", 503},
+    {"version_unavailable", 503},
     {"quarantined", 503},
     {"time_over_unsent", 503},
     {"stopping", 503},
--- a/src/gateway/gateway_error.h
+++ b/src/gateway/gateway_error.h
@@ -20,6 +20,9 @@
   no_server,
   servers_refused,
   overloaded,
+  // It resumes a stream, and no server of the version that began it takes work, or that version is
+  // not known.
+  version_unavailable,
   // The request, or a part of it, is known to crash servers.
   quarantined,
   time_over_unsent,
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -19,6 +19,8 @@
 #include "hawthornnotch/relay/store_era.h"
 #include "hawthornnotch/routes/route_table.h"
 #include "hawthornnotch/servers/server_list.h"
+#include "hawthornnotch/streams/origin_table.h"
+#include "hawthornnotch/streams/version_history.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -54,6 +56,8 @@
   relay::confirmation config_seen;
   relay::store_era era;
   servers::server_list servers;
+  streams::version_history versions;
+  streams::origin_table origins;
   relay::peer_set peers;
   dispatch::dispatcher dispatcher;
   dispatch::retry_budget retries;
--- /dev/null
+++ b/src/gateway/origin_link.h
@@ -0,0 +1,62 @@
+// Tells other entry VMs where streams began, and asks them.
+#ifndef HAWTHORNNOTCH_SRC_GATEWAY_ORIGIN_LINK_H_
+#define HAWTHORNNOTCH_SRC_GATEWAY_ORIGIN_LINK_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "gateway_state.h"
+#include "hawthornnotch/net/http_server.h"
+#include "hawthornnotch/streams/origin_message.h"
+
+namespace hawthornnotch::gateway::internal {
+
+// While more than one software version of a service is recent, each VM tells the origins of its
+// streams at once to a few other VMs, the stream's keepers: those first in the rendezvous order of
+// all VMs for the stream's id. Any VM can find them to ask. Otherwise nothing is sent; once a
+// second version appears, the origins of the streams that have begun are told.
+//
+// Ownership: refers to the state, which outlives it.  Thread safety: none.
+class origin_link {
+ public:
+  origin_link(gateway_state& shared, boost::asio::any_io_executor executor);
+
+  // Records that a stream of this VM began.
+  void on_stream_begun(const streams::stream_origin& origin);
+  // Tells the origins of all streams that this VM began, once a service is mixed.
+  void on_versions_mixed(std::span<const std::string> services);
+  // \returns the origin, asking the stream's keepers if this VM does not know it; none if nobody
+  // knows it in time.
+  boost::asio::awaitable<std::optional<streams::stream_origin>> find(streams::stream_key key);
+  // \returns whether a request on the peers' port is for `handle`.
+  [[nodiscard]] static bool is_for_origins(const net::http_request& request);
+  // Serves another VM's message.  Answers 400 if it can't be decoded.
+  boost::asio::awaitable<void> handle(net::http_request request, net::response_writer& writer);
+
+ private:
+  struct inquiry;
+  void tell(const streams::stream_origin& origin);
+  void flush();
+  boost::asio::awaitable<void> send_origins(endpoint to, std::vector<streams::stream_origin> what);
+  boost::asio::awaitable<void> ask(endpoint to, std::shared_ptr<inquiry> about);
+  boost::asio::awaitable<std::optional<streams::origin_message>> exchange(
+      const endpoint& to, const streams::origin_message& message);
+
+  gateway_state& shared_;
+  boost::asio::any_io_executor executor_;
+  boost::asio::steady_timer flush_timer_;
+  bool flush_pending_ = false;
+  // Not sent yet, by keeper.
+  std::map<std::string, std::pair<endpoint, std::vector<streams::stream_origin>>> waiting_;
+};
+
+}  // namespace hawthornnotch::gateway::internal
+
+#endif  // HAWTHORNNOTCH_SRC_GATEWAY_ORIGIN_LINK_H_
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -39,11 +39,13 @@
 }  // namespace
 
 proxied_request::proxied_request(gateway_state& shared, state_updater& updater,
-                                 crash_guard& crashes, net::response_writer& writer,
+                                 crash_guard& crashes, stream_resumption& resumption,
+                                 net::response_writer& writer,
                                  const asio::any_io_executor& executor)
     : shared_(shared),
       updater_(updater),
       crashes_(crashes),
+      resumption_(resumption),
       writer_(writer),
       timer_(executor),
       breaker_(std::make_shared<net::cancellation_token>()),
@@ -70,6 +72,10 @@
     prepare();
     start_timeout();
     shared_.retries.on_request(service_, arrived_at_);
+    if (resumes_stream()) {
+      const bool known = co_await find_version();
+      version_unavailable_ = !known;
+    }
     co_await send_with_retries();
   }
   timer_.cancel();
@@ -134,8 +140,11 @@
 
 bool proxied_request::is_retryable() const {
   const bool idempotent = route_->kind == routes::repeatability::idempotent;
-  const bool resumable = route_->kind == routes::repeatability::event_stream && route_->resumable;
-  return idempotent || resumable;
+  return idempotent || is_resumable();
+}
+
+bool proxied_request::is_resumable() const {
+  return route_->kind == routes::repeatability::event_stream && route_->resumable;
 }
 
 bool proxied_request::has_time_to_send() const { return time_remaining() > min_send_time; }
@@ -164,7 +173,7 @@
 void proxied_request::cancel_exchange() { breaker_->cancel(); }
 
 asio::awaitable<void> proxied_request::send_with_retries() {
-  while (!is_aborted() && has_time_to_send() && !is_quarantined()) {
+  while (!is_aborted() && has_time_to_send() && !is_quarantined() && !version_unavailable_) {
     dispatch::placement_query query;
     query.service = service_;
     query.prefixes = prefixes_;
@@ -179,6 +188,8 @@
     auto chosen = shared_.dispatcher.choose(query);
     if (!chosen) {
       all_paused_ = chosen.last_reason() == dispatch::placement_failure::all_paused;
+      version_unavailable_ =
+          chosen.last_reason() == dispatch::placement_failure::no_server_of_version;
       if (all_paused_) {
         record_held_back();
       }
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -15,7 +15,9 @@
 #include "gateway_state.h"
 #include "hawthornnotch/net/http_server.h"
 #include "hawthornnotch/quarantine/fingerprint.h"
+#include "origin_link.h"
 #include "store_sync.h"
+#include "stream_records.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -30,8 +32,15 @@
 // Ownership: lives in the coroutine of its connection.  Thread safety: none.
 class proxied_request {
  public:
+  // What is known of the versions that began streams.
+  struct stream_resumption {
+    origin_link& origins;
+    stream_records& records;
+  };
+
   proxied_request(gateway_state& shared, state_updater& updater, crash_guard& crashes,
-                  net::response_writer& writer, const boost::asio::any_io_executor& executor);
+                  stream_resumption& resumption, net::response_writer& writer,
+                  const boost::asio::any_io_executor& executor);
   ~proxied_request();
   proxied_request(const proxied_request&) = delete;
   proxied_request& operator=(const proxied_request&) = delete;
@@ -48,6 +57,22 @@
   [[nodiscard]] std::optional<gateway_error> find_route();
   [[nodiscard]] bool too_late_to_stream() const;
   void prepare();
+  [[nodiscard]] bool is_resumable() const;
+  // \returns whether the caller resumes a stream that another attempt began.
+  [[nodiscard]] bool resumes_stream() const;
+  [[nodiscard]] streams::stream_key stream_key_of(std::string attempt) const;
+  // Finds the software version that began the resumed stream.  \returns false if it is unknown.
+  boost::asio::awaitable<bool> find_version();
+  // \returns the origin of the resumed stream by the records in the platform's store.
+  boost::asio::awaitable<std::optional<streams::stream_origin>> find_recorded_origin();
+  // \returns the one version at which the service's streams can have begun; none if there may be
+  // several.
+  [[nodiscard]] std::optional<std::string> only_version() const;
+  void log_resumption(std::string_view known_by, duration age) const;
+  // Called before the first event of the response is forwarded.
+  void on_stream_begun();
+  // Called after the whole response was forwarded.
+  void on_stream_finished();
   [[nodiscard]] bool is_retryable() const;
   [[nodiscard]] duration time_remaining() const;
   // \returns whether enough time remains to send the request to a server.
@@ -99,6 +124,7 @@
   gateway_state& shared_;
   state_updater& updater_;
   crash_guard& crashes_;
+  stream_resumption& resumption_;
   net::response_writer& writer_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<net::cancellation_token> breaker_;
@@ -130,6 +156,7 @@
   bool all_paused_ = false;
   // The stream has begun at this software version and goes on at no other.
   std::optional<std::string> required_version_;
+  bool version_unavailable_ = false;
   // The request, or a part of it, is known to crash servers.
   bool quarantined_ = false;
   // A server may have received the request, so any further attempt needs the retry budget.
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -241,6 +241,8 @@
   const auto finished = co_await writer_.finish();
   if (!started || !finished) {
     outcome_ = "caller_left";
+  } else {
+    on_stream_finished();
   }
   co_return attempt_outcome::done;
 }
@@ -278,8 +280,8 @@
   if (!started) {
     co_return false;
   }
-  if (batch.count > 0 && !required_version_) {
-    required_version_ = placement_.server.software_version;
+  if (batch.count > 0) {
+    on_stream_begun();
   }
   events_ += batch.count;
   const bool written = co_await write_body(batch.text);
@@ -307,6 +309,8 @@
   const bool timed_out = time_over_ || !has_time_to_send();
   if (possible_executions_ > 0) {
     co_await send_error(timed_out ? gateway_error::time_over : gateway_error::server_failed);
+  } else if (version_unavailable_) {
+    co_await send_error(gateway_error::version_unavailable);
   } else if (quarantined_) {
     co_await send_error(gateway_error::quarantined);
   } else if (timed_out) {
--- /dev/null
+++ b/src/gateway/proxied_request_resume.cpp
@@ -0,0 +1,88 @@
+// Ties a stream that is resumed to the software version that began it.
+#include <boost/asio/awaitable.hpp>
+#include <utility>
+
+#include "hawthornnotch/observe/log.h"
+#include "origin_link.h"
+#include "proxied_request.h"
+#include "stream_records.h"
+
+namespace hawthornnotch::gateway::internal {
+
+namespace asio = boost::asio;
+using observe::level;
+using observe::log_event;
+
+bool proxied_request::resumes_stream() const {
+  return is_resumable() && request_.last_event_id.value_or(0) > 0;
+}
+
+streams::stream_key proxied_request::stream_key_of(std::string attempt) const {
+  return {workspace_ != nullptr ? workspace_->name : "", service_, std::move(attempt)};
+}
+
+std::optional<std::string> proxied_request::only_version() const {
+  const std::set<std::string> recent = shared_.versions.recent(service_, shared_.time.now());
+  const bool known = resumption_.records.history_known() && recent.size() == 1;
+  return known ? std::optional(*recent.begin()) : std::nullopt;
+}
+
+asio::awaitable<std::optional<streams::stream_origin>> proxied_request::find_recorded_origin() {
+  co_await resumption_.records.refresh();
+  co_return shared_.origins.find(stream_key_of(request_.resumed_attempt), shared_.time.now());
+}
+
+// Another VM may know of a version that this one has not seen yet, so records go first.
+asio::awaitable<bool> proxied_request::find_version() {
+  auto origin = co_await resumption_.origins.find(stream_key_of(request_.resumed_attempt));
+  if (!origin && !only_version()) {
+    origin = co_await find_recorded_origin();
+  }
+  if (origin) {
+    required_version_ = origin->software_version;
+    log_resumption("record", origin->age);
+    co_return true;
+  }
+  required_version_ = only_version();
+  if (required_version_) {
+    log_resumption("only_version", duration{-1});
+    co_return true;
+  }
+  const std::set<std::string> recent = shared_.versions.recent(service_, shared_.time.now());
+  log_event(level::info, "resume_refused",
+            {{"request_id", request_.id},
+             {"resumes", request_.resumed_attempt},
+             {"service", service_},
+             {"recent_versions", recent.size()},
+             {"history_known", resumption_.records.history_known()}});
+  co_return false;
+}
+
+void proxied_request::log_resumption(std::string_view known_by, duration age) const {
+  log_event(level::info, "stream_resumed",
+            {{"request_id", request_.id},
+             {"resumes", request_.resumed_attempt},
+             {"service", service_},
+             {"version", *required_version_},
+             {"known_by", known_by},
+             {"age_ms", age.ms}});
+}
+
+// The version is that of the server that answered: any other server rejects the request.
+void proxied_request::on_stream_begun() {
+  if (required_version_) {
+    return;
+  }
+  required_version_ = placement_.server.software_version;
+  if (is_resumable()) {
+    resumption_.origins.on_stream_begun(
+        {stream_key_of(request_.id), placement_.server.software_version, duration{0}});
+  }
+}
+
+void proxied_request::on_stream_finished() {
+  const bool resumed = !request_.resumed_attempt.empty();
+  shared_.origins.finish(stream_key_of(resumed ? request_.resumed_attempt : request_.id));
+}
+
+}  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -118,6 +118,13 @@
   const platform::store_version version = reading.version;
   const duration age = now - reading.read_at;
   const servers::list_change change = shared_.servers.apply(reading, now);
+  if (const auto& newest = shared_.servers.newest()) {
+    const auto newly_mixed = shared_.versions.observe(newest->entries, now);
+    if (!newly_mixed.empty()) {
+      log_event(level::info, "versions_mixed", {{"services", joined(newly_mixed)}});
+      listeners_.versions_mixed(newly_mixed);
+    }
+  }
   if (change.empty()) {
     return;
   }
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -20,6 +20,8 @@
   std::function<void()> changed;
   // The store was restored from a backup.
   std::function<void()> restored;
+  // A second software version appeared in these services.
+  std::function<void(std::span<const std::string>)> versions_mixed;
 };
 
 // Applies updates from the store and from peers to the shared state, logs them, and calls the
--- /dev/null
+++ b/src/gateway/stream_records.h
@@ -0,0 +1,67 @@
+// Keeps the origins of streams in the platform's store while versions are mixed.
+#ifndef HAWTHORNNOTCH_SRC_GATEWAY_STREAM_RECORDS_H_
+#define HAWTHORNNOTCH_SRC_GATEWAY_STREAM_RECORDS_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
+#include <span>
+#include <string>
+
+#include "gateway_state.h"
+#include "hawthornnotch/platform/client.h"
+#include "hawthornnotch/streams/stream_record.h"
+
+namespace hawthornnotch::gateway::internal {
+
+// While a service has more than one recent version, each VM writes its recent versions and the
+// origins of its unfinished streams under one key, with a lease that outlives these streams. So
+// they are known after a restart of the whole fleet; otherwise nothing is written. A process reads
+// the records before its first write, and when it is asked for a stream that no other VM knows.
+//
+// Ownership: refers to the state and the store, which outlive it.  Thread safety: none.
+class stream_records {
+ public:
+  stream_records(gateway_state& shared, platform::key_value_store& store,
+                 const boost::asio::any_io_executor& executor);
+
+  void start() { schedule(); }
+  // Reads the records into the state, unless this was done a moment ago.
+  boost::asio::awaitable<void> refresh();
+  // \returns whether `gateway_state::versions` knows all recent versions: this process has read the
+  // records, or has watched the server list for longer than any stream lasts.
+  [[nodiscard]] bool history_known() const;
+
+ private:
+  void schedule();
+  void update();
+  [[nodiscard]] std::string compose(streams::version_sets mixed) const;
+  void write(std::string value);
+  void renew();
+  void read();
+  void add_records(std::span<const platform::key_value> records);
+  // \returns the interval between writes, and between reads: in a large fleet each VM makes few
+  // calls, so that all together stay within the store's rate.
+  [[nodiscard]] duration call_interval() const;
+  [[nodiscard]] std::string own_key() const;
+
+  gateway_state& shared_;
+  platform::key_value_store& store_;
+  boost::asio::any_io_executor executor_;
+  boost::asio::steady_timer timer_;
+  time_point started_at_;
+  // The record in the store, and its lease; empty and 0 while there is none.
+  std::string written_;
+  std::int64_t lease_ = 0;
+  time_point renewed_at_;
+  time_point called_at_;
+  bool call_open_ = false;
+  std::optional<time_point> read_at_;
+  time_point read_tried_at_;
+  bool reading_ = false;
+};
+
+}  // namespace hawthornnotch::gateway::internal
+
+#endif  // HAWTHORNNOTCH_SRC_GATEWAY_STREAM_RECORDS_H_
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -217,6 +217,30 @@
   return hashes;
 }
 
+std::vector<endpoint> peer_set::keepers_of(std::uint64_t key, std::size_t count) const {
+  struct ranked_vm {
+    std::uint64_t order = 0;
+    const endpoint* address = nullptr;
+  };
+  std::vector<ranked_vm> ranked;
+  ranked.reserve(peers_.size() + 1);
+  ranked.push_back({stable_hash(self_.vm, key), nullptr});
+  for (const auto& [vm, known] : peers_) {
+    ranked.push_back({stable_hash(vm, key), &known.about.address});
+  }
+  const std::size_t kept = std::min(count, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                    ranked.end(),
+                    [](const ranked_vm& a, const ranked_vm& b) { return a.order > b.order; });
+  std::vector<endpoint> keepers;
+  for (std::size_t index = 0; index < kept; ++index) {
+    if (ranked[index].address != nullptr) {
+      keepers.push_back(*ranked[index].address);
+    }
+  }
+  return keepers;
+}
+
 peer_changes peer_set::take_changes(time_point now) {
   peer_changes changes;
   for (auto& [vm, known] : peers_) {
--- /dev/null
+++ b/src/streams/stream_record.cpp
@@ -0,0 +1,114 @@
+#include "hawthornnotch/streams/stream_record.h"
+
+#include <boost/json.hpp>
+#include <map>
+
+namespace hawthornnotch::streams {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view versions_key = "versions";
+constexpr std::string_view streams_key = "streams";
+
+// Reads nested objects without exceptions; `good` becomes false where a value has another type.
+class record_reader {
+ public:
+  explicit record_reader(bool& good) : good_(good) {}
+
+  const json::object& object(const json::value* value) {
+    static const json::object none;
+    const bool fits = value != nullptr && value->is_object();
+    good_ = good_ && fits;
+    return fits ? value->get_object() : none;
+  }
+  std::vector<std::string> texts(const json::value& value) {
+    std::vector<std::string> out;
+    good_ = good_ && value.is_array();
+    if (!value.is_array()) {
+      return out;
+    }
+    for (const json::value& each : value.get_array()) {
+      good_ = good_ && each.is_string();
+      if (each.is_string()) {
+        out.emplace_back(each.get_string());
+      }
+    }
+    return out;
+  }
+
+ private:
+  bool& good_;
+};
+
+json::array to_array(const auto& texts) {
+  json::array out;
+  for (const std::string& each : texts) {
+    out.emplace_back(json::string(each));
+  }
+  return out;
+}
+
+}  // namespace
+
+// Streams are grouped by service, version and workspace, since only their ids differ.
+std::string encode(const stream_record& record) {
+  json::object versions;
+  for (const auto& [service, names] : record.recent_versions) {
+    versions[service] = to_array(names);
+  }
+  std::map<std::string_view, std::map<std::string_view, std::map<std::string_view, json::array>>>
+      grouped;
+  for (const stream_origin& each : record.streams) {
+    json::array& ids = grouped[each.key.service][each.software_version][each.key.workspace];
+    ids.emplace_back(json::string(each.key.attempt));
+  }
+  json::object streams;
+  for (auto& [service, versions_of_service] : grouped) {
+    json::object by_version;
+    for (auto& [version, workspaces] : versions_of_service) {
+      json::object by_workspace;
+      for (auto& [workspace, ids] : workspaces) {
+        by_workspace[workspace] = std::move(ids);
+      }
+      by_version[version] = std::move(by_workspace);
+    }
+    streams[service] = std::move(by_version);
+  }
+  return json::serialize(
+      json::object{{versions_key, std::move(versions)}, {streams_key, std::move(streams)}});
+}
+
+result<stream_record, record_failure> decode_stream_record(std::string_view text) {
+  boost::system::error_code error;
+  const json::value value = json::parse(json::string_view(text.data(), text.size()), error);
+  if (error || !value.is_object()) {
+    return failed{record_failure::malformed};
+  }
+  bool good = true;
+  record_reader reader(good);
+  stream_record out;
+  for (const auto& [service, names] : reader.object(value.get_object().if_contains(versions_key))) {
+    for (std::string& name : reader.texts(names)) {
+      out.recent_versions[std::string(service)].insert(std::move(name));
+    }
+  }
+  for (const auto& [service, by_version] :
+       reader.object(value.get_object().if_contains(streams_key))) {
+    for (const auto& [version, by_workspace] : reader.object(&by_version)) {
+      for (const auto& [workspace, ids] : reader.object(&by_workspace)) {
+        for (std::string& id : reader.texts(ids)) {
+          out.streams.push_back(
+              {{std::string(workspace), std::string(service), std::move(id)}, version, {}});
+        }
+      }
+    }
+  }
+  if (!good) {
+    return failed{record_failure::malformed};
+  }
+  return out;
+}
+
+}  // namespace hawthornnotch::streams
--- /dev/null
+++ b/src/streams/version_history.cpp
@@ -0,0 +1,72 @@
+#include "hawthornnotch/streams/version_history.h"
+
+#include "hawthornnotch/streams/stream_origin.h"
+
+namespace hawthornnotch::streams {
+
+std::vector<std::string> version_history::observe(std::span<const servers::server_entry> listed,
+                                                  time_point now) {
+  version_sets present;
+  for (const servers::server_entry& entry : listed) {
+    present[entry.service].insert(entry.software_version);
+  }
+  for (auto& [service, versions] : services_) {
+    const auto here = present.find(service);
+    for (auto& [version, seen] : versions) {
+      const bool is_listed = here != present.end() && here->second.contains(version);
+      if (!is_listed && !seen.removed_at) {
+        seen.removed_at = now;
+      }
+    }
+    std::erase_if(versions, [&](const auto& each) {
+      return each.second.removed_at && now - *each.second.removed_at > max_stream_age;
+    });
+  }
+  std::vector<std::string> newly_mixed;
+  for (const auto& [service, versions] : present) {
+    const bool was_mixed = is_mixed(service, now);
+    for (const std::string& version : versions) {
+      services_[service][version].removed_at.reset();
+    }
+    if (!was_mixed && is_mixed(service, now)) {
+      newly_mixed.push_back(service);
+    }
+  }
+  return newly_mixed;
+}
+
+void version_history::inherit(const version_sets& recorded, time_point now) {
+  for (const auto& [service, versions] : recorded) {
+    for (const std::string& version : versions) {
+      services_[service].try_emplace(version, seen_version{now});
+    }
+  }
+}
+
+std::set<std::string> version_history::recent_of(const seen_versions& versions, time_point now) {
+  std::set<std::string> out;
+  for (const auto& [version, seen] : versions) {
+    if (!seen.removed_at || now - *seen.removed_at <= max_stream_age) {
+      out.insert(version);
+    }
+  }
+  return out;
+}
+
+std::set<std::string> version_history::recent(std::string_view service, time_point now) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? std::set<std::string>{} : recent_of(found->second, now);
+}
+
+version_sets version_history::mixed_services(time_point now) const {
+  version_sets out;
+  for (const auto& [service, versions] : services_) {
+    std::set<std::string> recent = recent_of(versions, now);
+    if (recent.size() > 1) {
+      out.emplace(service, std::move(recent));
+    }
+  }
+  return out;
+}
+
+}  // namespace hawthornnotch::streams
--- a/tests/gateway/joined_versions_test.cpp
+++ b/tests/gateway/joined_versions_test.cpp
@@ -52,6 +52,8 @@
 constexpr int streams = 8;
 // Time after which an entry VM knows a change of the server list.
 constexpr milliseconds list_reading_time{2'500};
+// Time after which the platform's store holds the origins of streams.
+constexpr milliseconds record_writing_time{1'500};
 
 // A server of another version starts while the stream runs, and the stream's own server fails.
 TEST_THAT(resumed_stream, goes_on_at_its_version_within_one_answer) {
@@ -163,6 +165,33 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fresh));
 }
 
+bool received_attempt(fake_server& server, const std::string& id) {
+  const auto received = server.received();
+  return std::any_of(received.begin(), received.end(),
+                     [&](const http_request& each) { return each.header("X-Attempt-Id") == id; });
+}
+
+// All entry VMs are killed at once; only the platform's store remembers where the streams began.
+TEST_THAT(resumed_stream, goes_on_at_its_version_after_a_restart_of_all) {
+  gateway_fixture fixture;
+  fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
+  fake_server& fresh = add_versioned(fixture, "new", "v2", stream_two_and_abort);
+  fixture.start_without_retries();
+  for (int number = 0; number < streams; ++number) {
+    std::ignore = fixture.call(make_stream("a" + std::to_string(number)));
+  }
+  std::this_thread::sleep_for(record_writing_time);
+  fixture.restart();
+  for (int number = 0; number < streams; ++number) {
+    const std::string begun = "a" + std::to_string(number);
+    const std::string resumed = "b" + std::to_string(number);
+    std::ignore = fixture.call(make_resumption(resumed, begun));
+    CPPUNIT_ASSERT_EQUAL(received_attempt(old_server, begun),
+                         received_attempt(old_server, resumed));
+    CPPUNIT_ASSERT_EQUAL(received_attempt(fresh, begun), received_attempt(fresh, resumed));
+  }
+}
+
 // All entry VMs are killed at once, after the last server of the old version has left.
 TEST_THAT(resumed_stream, is_refused_after_a_restart_of_all_if_an_old_version_has_just_left) {
   gateway_fixture fixture;
