--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -339,7 +339,7 @@
 }
 
 servers::list_snapshot server_list_poller::reading_of(const platform::read_outcome& answer,
-                                                      time_point called_at) const {
+                                                      time_point called_at) {
   servers::list_snapshot reading;
   reading.id = shared_.random.engine()();
   reading.version = {shared_.era.current(), answer.revision};
@@ -349,10 +349,16 @@
     if (entry) {
       reading.entries.push_back(std::move(*entry));
     } else {
-      log_event(level::debug, "server_entry_unreadable", {{"key", each.key}});
+      log_unreadable(each.key);
     }
   }
   return reading;
 }
 
+void server_list_poller::log_unreadable(std::string_view key) {
+  if (logged_entries_.size() < max_logged_entries && logged_entries_.emplace(key).second) {
+    log_event(level::warning, "server_entry_unreadable", {{"key", key}});
+  }
+}
+
 }  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -3,7 +3,9 @@
 #define HAWTHORNNOTCH_SRC_GATEWAY_STORE_SYNC_H_
 
 #include <functional>
+#include <set>
 #include <span>
+#include <string>
 #include <string_view>
 
 #include "gateway_state.h"
@@ -142,7 +144,9 @@
   void apply_reading(const result<platform::read_outcome, platform::platform_failure>& answer,
                      time_point called_at, std::uint64_t restores_at_call);
   [[nodiscard]] servers::list_snapshot reading_of(const platform::read_outcome& answer,
-                                                  time_point called_at) const;
+                                                  time_point called_at);
+  // Names an unreadable entry in the log, once; no more than `max_logged_entries`.
+  void log_unreadable(std::string_view key);
   // \returns the id of the newest list known; 0 if there is none.
   [[nodiscard]] std::uint64_t newest_id() const;
 
@@ -152,6 +156,8 @@
   ticker ticker_;
   relay::reading_schedule schedule_;
   dependency_monitor store_list_{"store_list"};
+  static constexpr std::size_t max_logged_entries = 100;
+  std::set<std::string, std::less<>> logged_entries_;
 };
 
 }  // namespace hawthornnotch::gateway::internal
--- a/tests/adapter/wire_protocol_test.cpp
+++ b/tests/adapter/wire_protocol_test.cpp
@@ -131,6 +131,43 @@
   CPPUNIT_ASSERT(!decode(R"({"Service":"s","Zone":"z","State":"ready"})"));
 }
 
+// Another writer may leave anything among the servers' entries.
+TEST_THAT(wire_protocol, rejects_odd_server_entries_of_another_writer) {
+  const wire_protocol wire;
+  const auto decode = [&](std::string_view key, const std::string& value) {
+    return wire.decode_server(key, value).has_value();
+  };
+  const auto entry = [](const std::string& address, const std::string& rest) {
+    return R"({"Service":"s","Address":)" + address + R"(,"Zone":"z","State":"ready")" + rest + "}";
+  };
+  const std::string good_address = R"("10.0.0.1:80")";
+  CPPUNIT_ASSERT(decode("servers/i-1", entry(good_address, "")));
+  for (const char* address :
+       {R"("10.0.0.1:0")", R"("10.0.0.1:65536")", R"("10.0.0.1:99999999999999999999")",
+        R"("10.0.0.1:-1")", R"("10.0.0.1:1e99")", R"("10.0.0.1:80.5")", R"("10.0.0.1:")",
+        R"("10.0.0.1")", R"(":80")", R"("")", R"("somewhere:80")", R"("10.0.0.1 :80")", "80",
+        "null", "{}", "[]", "1e99"}) {
+    CPPUNIT_ASSERT_MESSAGE(address, !decode("servers/i-1", entry(address, "")));
+  }
+  for (const char* rest :
+       {R"(,"Slots":-1)", R"(,"Slots":4294967296)", R"(,"Slots":1e99)", R"(,"Slots":"4")",
+        R"(,"Slots":18446744073709551616)", R"(,"born":1e300)", R"(,"born":"now")",
+        R"(,"born":99999999999999999999)", R"(,"Version":7)", R"(,"Version":{})"}) {
+    CPPUNIT_ASSERT_MESSAGE(rest, !decode("servers/i-1", entry(good_address, rest)));
+  }
+  constexpr std::size_t levels = 200'000;
+  const std::string nested = std::string(levels, '[') + std::string(levels, ']');
+  for (const std::string& value :
+       {std::string(), std::string("7"), std::string("\"ready\""), nested,
+        entry(good_address, ",\"Odd\":" + nested), std::string(levels, '{'),
+        entry("\"10.0.0.1:80\xff\"", ""), std::string(levels, 'x')}) {
+    CPPUNIT_ASSERT(!decode("servers/i-1", value));
+  }
+  for (const char* key : {"servers/", "servers/i 1", "servers/i-1\r\nX-Odd: 1", "servers/\x7f"}) {
+    CPPUNIT_ASSERT_MESSAGE(key, !decode(key, entry(good_address, "")));
+  }
+}
+
 net::http_response make_rejection(std::string seconds) {
   net::http_response response;
   response.status = 503;
