Answer each request before a planned stop ends, or turn it away as not run

An operator of a system like ours saw requests that came late in the grace of a planned stop taken, passed on and cut at its end without an answer.

Cause: only streams were turned away once the balancer had noticed the stop; and the end of the grace stopped the process whatever was open. Now a request that the caller or its route lets take longer than the process has is refused 503 (not run) from then on, and what is still open shortly before the end is ended as at its deadline: 504 if a server may have run it, 503 if not; a stream that has begun is broken off, so that its caller can take it up.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <map>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -37,6 +38,8 @@
 constexpr duration balancer_detection_time{2'800};
 /// Part of the grace time that is reserved for the process's own exit.
 constexpr duration stop_reserve{400};
+/// Time before the end at which requests that are still open are answered.
+constexpr duration last_answers_time{150};
 constexpr std::chrono::milliseconds drain_poll_period{50};
 /// Idle connections are limits for this multiple of the configured timeout: callers go by the
 /// configuration that they know, whose timeout may be longer than the one in force here.
@@ -254,6 +257,8 @@
     }
     shared_.stopping = true;
     drain_started_at_ = shared_.time.now();
+    shared_.ends_at =
+        drain_started_at_ + (shared_.settings.stop_grace - stop_reserve) - last_answers_time;
     shared_.peers.leave();
     callers_->close_after_response();
     link_.notify_peers();
@@ -261,6 +266,15 @@
     check_drained();
   }
 
+  // A request that is ended may leave the map while the others are told.
+  void end_open_requests() {
+    for (const auto& [request, end] : std::map(shared_.open_requests)) {
+      if (shared_.open_requests.contains(request)) {
+        end();
+      }
+    }
+  }
+
   void check_drained() {
     const duration passed = shared_.time.now() - drain_started_at_;
     const bool noticed = passed >= balancer_detection_time;
@@ -270,6 +284,9 @@
       shared_.balancer_detected_stop = true;
       callers_->close_idle();
     }
+    if (open > 0 && shared_.time.now() >= *shared_.ends_at) {
+      end_open_requests();
+    }
     if ((noticed && open == 0) || grace_over) {
       all_requests_finished_ = open == 0;
       log_event(level::info, "stopped", {{"after_ms", passed.ms}, {"cut_requests", open}});
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -2,7 +2,10 @@
 #ifndef HAWTHORNNOTCH_SRC_GATEWAY_GATEWAY_STATE_H_
 #define HAWTHORNNOTCH_SRC_GATEWAY_GATEWAY_STATE_H_
 
+#include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "hawthornnotch/base/clock.h"
@@ -68,6 +71,10 @@
   [[nodiscard]] bool can_route() const { return config.current() && servers.newest(); }
 
   bool stopping = false;
+  // When the process answers what is still open and ends; none while it is not stopping.
+  std::optional<time_point> ends_at;
+  // Called at that time, by open request.
+  std::map<const void*, std::function<void()>> open_requests;
   // The process is stopping, and the balancer has had time to stop sending it new connections.
   bool balancer_detected_stop = false;
 };
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -51,10 +51,13 @@
       breaker_(std::make_shared<net::cancellation_token>()),
       alive_(std::make_shared<bool>(true)),
       arrived_at_(shared.time.now()),
-      splitter_(std::nullopt) {}
+      splitter_(std::nullopt) {
+  shared_.open_requests.emplace(this, [this] { end_now(); });
+}
 
 proxied_request::~proxied_request() {
   *alive_ = false;
+  shared_.open_requests.erase(this);
   writer_.on_peer_disconnect(nullptr);
 }
 
@@ -63,7 +66,7 @@
   monitor_caller();
   co_await await_initial_state();
   std::optional<gateway_error> refusal = find_route();
-  if (!refusal && too_late_to_stream()) {
+  if (!refusal && may_outlast_process()) {
     refusal = gateway_error::stopping;
   }
   if (refusal) {
@@ -110,9 +113,15 @@
       match);
 }
 
-// A stream that starts after the balancer has detected the stop may not end within the grace time.
-bool proxied_request::too_late_to_stream() const {
-  return shared_.balancer_detected_stop && route_->kind == routes::repeatability::event_stream;
+// Before the balancer has detected the stop, a refused caller would come back to this VM.
+bool proxied_request::may_outlast_process() const {
+  const bool streams = route_->kind == routes::repeatability::event_stream;
+  const bool too_long = shared_.ends_at && arrived_at_ + allowed_time() > *shared_.ends_at;
+  return shared_.balancer_detected_stop && (streams || too_long);
+}
+
+duration proxied_request::allowed_time() const {
+  return request_.time_left ? std::min(*request_.time_left, route_->timeout) : route_->timeout;
 }
 
 void proxied_request::prepare() {
@@ -132,9 +141,7 @@
   carried_.push_back(
       quarantine::request_fingerprint({workspace, request_.host, request_.message.method,
                                        request_.message.target, request_.message.body}));
-  const duration allowed =
-      request_.time_left ? std::min(*request_.time_left, route_->timeout) : route_->timeout;
-  deadline_ = arrived_at_ + allowed;
+  deadline_ = arrived_at_ + allowed_time();
   splitter_ = event_splitter(request_.last_event_id);
 }
 
@@ -164,12 +171,16 @@
   timer_.expires_after(std::chrono::milliseconds(std::max<std::int64_t>(time_remaining().ms, 0)));
   timer_.async_wait([this, alive = alive_](const boost::system::error_code& error) {
     if (!error && *alive) {
-      time_over_ = true;
-      cancel_exchange();
+      end_now();
     }
   });
 }
 
+void proxied_request::end_now() {
+  time_over_ = true;
+  cancel_exchange();
+}
+
 void proxied_request::cancel_exchange() { breaker_->cancel(); }
 
 asio::awaitable<void> proxied_request::send_with_retries() {
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -55,7 +55,10 @@
   boost::asio::awaitable<void> await_initial_state();
   // \returns the error if there is no route, nothing if one was found.
   [[nodiscard]] std::optional<gateway_error> find_route();
-  [[nodiscard]] bool too_late_to_stream() const;
+  // \returns whether the process is stopping and may end before the request does.
+  [[nodiscard]] bool may_outlast_process() const;
+  // \returns how long the caller and the route let the request take.
+  [[nodiscard]] duration allowed_time() const;
   void prepare();
   [[nodiscard]] bool is_resumable() const;
   // \returns whether the caller resumes a stream that another attempt began.
@@ -81,6 +84,8 @@
   void monitor_caller();
   void start_timeout();
   void cancel_exchange();
+  // Ends the request as at its deadline.
+  void end_now();
 
   boost::asio::awaitable<void> send_with_retries();
   boost::asio::awaitable<attempt_outcome> send_attempt(const dispatch::placement& to);
