Take no old server list for the present when a stream is taken up

A VM that is cut off from its peers and from the store would have gone on with an unknown stream at the one version of its old list, though another version may serve by now. It now needs an answer of each keeper, or a list of at most twice its intended age; else the take-up is refused, not run.

--- a/include/hawthornnotch/servers/server_entry.h
+++ b/include/hawthornnotch/servers/server_entry.h
@@ -30,7 +30,8 @@
 };
 
 /// \returns a hash of the entries, less their software versions, which VMs of an earlier release do
-/// not know and which an incarnation never changes; VMs with equal entries in the same order compute the same value.
+/// not know and which an incarnation never changes; VMs with equal entries in the same order
+/// compute the same value.
 std::uint64_t digest_of(const std::vector<server_entry>& entries);
 
 }  // namespace hawthornnotch::servers
--- a/src/gateway/origin_link.cpp
+++ b/src/gateway/origin_link.cpp
@@ -45,6 +45,7 @@
   streams::stream_key key;
   std::optional<streams::stream_origin> found;
   std::size_t open = 0;
+  bool all_answered = true;
   asio::steady_timer answered;
 };
 
@@ -101,10 +102,10 @@
   std::ignore = co_await exchange(to, message);
 }
 
-asio::awaitable<std::optional<streams::stream_origin>> origin_link::find(streams::stream_key key) {
+asio::awaitable<origin_link::search_result> origin_link::find(streams::stream_key key) {
   auto known = shared_.origins.find(key, shared_.time.now());
   if (known || key.attempt.empty()) {
-    co_return known;
+    co_return search_result{std::move(known), true};
   }
   const auto question = std::make_shared<inquiry>(key, executor_);
   question->answered.expires_at(std::chrono::steady_clock::time_point::max());
@@ -118,7 +119,7 @@
   if (question->found) {
     shared_.origins.record(*question->found, streams::origin_source::peer, shared_.time.now());
   }
-  co_return question->found;
+  co_return search_result{question->found, question->all_answered};
 }
 
 asio::awaitable<void> origin_link::ask(endpoint to, std::shared_ptr<inquiry> about) {
@@ -126,6 +127,7 @@
   message.questions.push_back(about->key);
   const auto answer = co_await exchange(to, message);
   --about->open;
+  about->all_answered = about->all_answered && answer.has_value();
   if (answer && !answer->origins.empty() && answer->origins.front().key == about->key) {
     about->found = answer->origins.front();
   }
--- a/src/gateway/origin_link.h
+++ b/src/gateway/origin_link.h
@@ -32,9 +32,14 @@
   void on_stream_begun(const streams::stream_origin& origin);
   // Tells the origins of all streams that this VM began, once a service is mixed.
   void on_versions_mixed(std::span<const std::string> services);
-  // \returns the origin, asking the stream's keepers if this VM does not know it; none if nobody
-  // knows it in time.
-  boost::asio::awaitable<std::optional<streams::stream_origin>> find(streams::stream_key key);
+  struct search_result {
+    std::optional<streams::stream_origin> found;
+    // Whether every keeper was reached: then no VM that is in touch with them began the stream at a
+    // version that this one does not know.
+    bool all_answered = true;
+  };
+  // Asks the stream's keepers if this VM does not know its origin, for a short time.
+  boost::asio::awaitable<search_result> find(streams::stream_key key);
   // \returns whether a request on the peers' port is for `handle`.
   [[nodiscard]] static bool is_for_origins(const net::http_request& request);
   // Serves another VM's message.  Answers 400 if it can't be decoded.
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -13,6 +13,13 @@
 using observe::level;
 using observe::log_event;
 
+namespace {
+
+/// A list older than this multiple of its intended age may lack a version in service.
+constexpr std::int64_t list_age_factor = 2;
+
+}  // namespace
+
 bool proxied_request::resumes_stream() const {
   return is_resumable() && request_.last_event_id.value_or(0) > 0;
 }
@@ -21,9 +28,15 @@
   return {workspace_ != nullptr ? workspace_->name : "", service_, std::move(attempt)};
 }
 
-std::optional<std::string> proxied_request::only_version() const {
+bool proxied_request::is_list_recent() const {
+  const auto age = shared_.servers.age(shared_.time.now());
+  return age && *age <= shared_.settings.leave_notice * list_age_factor;
+}
+
+std::optional<std::string> proxied_request::only_version(bool peers_answered) const {
   const std::set<std::string> recent = shared_.versions.recent(service_, shared_.time.now());
-  const bool known = resumption_.records.history_known() && recent.size() == 1;
+  const bool complete = resumption_.records.history_known() && (peers_answered || is_list_recent());
+  const bool known = complete && recent.size() == 1;
   return known ? std::optional(*recent.begin()) : std::nullopt;
 }
 
@@ -34,8 +47,9 @@
 
 // Another VM may know of a version that this one has not seen yet, so records go first.
 asio::awaitable<bool> proxied_request::find_version() {
-  auto origin = co_await resumption_.origins.find(stream_key_of(request_.resumed_attempt));
-  if (!origin && !only_version()) {
+  auto search = co_await resumption_.origins.find(stream_key_of(request_.resumed_attempt));
+  std::optional<streams::stream_origin> origin = std::move(search.found);
+  if (!origin && !only_version(search.all_answered)) {
     origin = co_await find_recorded_origin();
   }
   if (origin) {
@@ -43,7 +57,7 @@
     log_resumption("record", origin->age);
     co_return true;
   }
-  required_version_ = only_version();
+  required_version_ = only_version(search.all_answered);
   if (required_version_) {
     log_resumption("only_version", duration{-1});
     co_return true;
@@ -54,7 +68,9 @@
              {"resumes", request_.resumed_attempt},
              {"service", service_},
              {"recent_versions", recent.size()},
-             {"history_known", resumption_.records.history_known()}});
+             {"history_known", resumption_.records.history_known()},
+             {"peers_answered", search.all_answered},
+             {"list_age_ms", shared_.servers.age(shared_.time.now()).value_or(duration{-1}).ms}});
   co_return false;
 }
 
--- a/tests/gateway/joined_versions_test.cpp
+++ b/tests/gateway/joined_versions_test.cpp
@@ -52,6 +52,8 @@
 constexpr int streams = 8;
 // Time after which an entry VM knows a change of the server list.
 constexpr milliseconds list_reading_time{2'500};
+// A list of this age may lack a version in service.
+constexpr milliseconds old_list_age{4'500};
 // Time after which the platform's store holds the origins of streams.
 constexpr milliseconds record_writing_time{1'500};
 
@@ -149,6 +151,24 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resumptions_at(only));
 }
 
+// Another version may have started since the list was read.
+TEST_THAT(resumed_stream, is_refused_by_a_vm_that_is_cut_off_from_the_list_and_its_peers) {
+  gateway_fixture cut_off;
+  fake_server& server = add_versioned(cut_off, "s1", "v1", stream_four);
+  {
+    gateway_fixture peer;
+    list_version(peer, "s1", server.address(), "v1");
+    peer.start();
+    cut_off.start({peer.peers()});
+    cut_off.await([&] { return cut_off.metric("hawthornnotch_live_entry_vms") == 2.0; });
+    CPPUNIT_ASSERT_EQUAL(200U, cut_off.call(make_resumption("b1", "a1"))->status);
+  }
+  cut_off.store().set_unavailable(true);
+  std::this_thread::sleep_for(old_list_age);
+  CPPUNIT_ASSERT_EQUAL(503U, cut_off.call(make_resumption("b2", "a2"))->status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resumptions_at(server));
+}
+
 TEST_THAT(resumed_stream, is_refused_at_once_if_no_server_of_its_version_is_left) {
   gateway_fixture fixture;
   fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
