--- a/include/hawthornnotch/config/json_reader.h
+++ b/include/hawthornnotch/config/json_reader.h
@@ -108,6 +108,8 @@
 /// Parses `address:port`.  \returns nothing if the address is empty or the port is not a number up
 /// to 65535.
 std::optional<endpoint> parse_endpoint(std::string_view text);
+/// \returns ADDRESS:PORT, as `parse_endpoint` reads it.
+std::string to_text(const endpoint& address);
 
 }  // namespace hawthornnotch
 
--- a/include/hawthornnotch/relay/member_census.h
+++ b/include/hawthornnotch/relay/member_census.h
@@ -5,7 +5,6 @@
 
 #include <cstddef>
 #include <map>
-#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
--- a/include/hawthornnotch/streams/stream_origin.h
+++ b/include/hawthornnotch/streams/stream_origin.h
@@ -4,6 +4,7 @@
 #define HAWTHORNNOTCH_STREAMS_STREAM_ORIGIN_H_
 
 #include <string>
+#include <tuple>
 
 #include "hawthornnotch/base/clock.h"
 
@@ -19,7 +20,11 @@
   std::string service;
   /// Id of the caller's attempt that brought the first event.
   std::string attempt;
-  auto operator<=>(const stream_key&) const = default;
+  bool operator==(const stream_key&) const = default;
+  bool operator<(const stream_key& other) const {
+    return std::tie(workspace, service, attempt) <
+           std::tie(other.workspace, other.service, other.attempt);
+  }
 };
 
 struct stream_origin {
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -313,4 +313,8 @@
   return endpoint{std::string(text.substr(0, colon)), static_cast<std::uint16_t>(port)};
 }
 
+std::string to_text(const endpoint& address) {
+  return address.address + ":" + std::to_string(address.port);
+}
+
 }  // namespace hawthornnotch
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -92,7 +92,7 @@
     config_.emplace(shared_, updater_, *store_, executor);
     list_.emplace(shared_, updater_, *store_, executor);
     registration_.emplace(shared_, *store_, executor);
-    versions_.emplace(shared_, *store_, executor);
+    stream_records_.emplace(shared_, *store_, executor);
     store_->on_era([this](std::int64_t era) { updater_.observe_era(era, "store"); });
     const gateway_settings& settings = shared_.settings;
     const net::server_limits limits = caller_limits();
@@ -138,7 +138,7 @@
     config_->start();
     list_->start();
     registration_->start();
-    versions_->start();
+    stream_records_->start();
     link_.start();
     context_.run();
     return all_requests_finished_;
@@ -188,7 +188,7 @@
   }
 
   asio::awaitable<void> serve_caller(net::http_request request, net::response_writer& writer) {
-    proxied_request::stream_resumption resumption{origins_, *versions_};
+    proxied_request::stream_resumption resumption{origins_, *stream_records_};
     proxied_request run(shared_, updater_, crashes_, resumption, writer, context_.get_executor());
     co_await run.run(std::move(request));
   }
@@ -311,7 +311,7 @@
   std::optional<config_watcher> config_;
   std::optional<server_list_poller> list_;
   std::optional<store_registration> registration_;
-  std::optional<stream_records> versions_;
+  std::optional<stream_records> stream_records_;
   std::unique_ptr<net::http_server> callers_;
   std::unique_ptr<net::http_server> readiness_;
   std::unique_ptr<net::http_server> peers_;
--- a/src/gateway/origin_link.cpp
+++ b/src/gateway/origin_link.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "hawthornnotch/base/hash.h"
+#include "hawthornnotch/config/json_reader.h"
 #include "hawthornnotch/observe/log.h"
 
 namespace hawthornnotch::gateway::internal {
@@ -28,10 +29,6 @@
 constexpr duration tcp_user_timeout{500};
 constexpr std::uint64_t max_message_bytes = 4 * 1024 * 1024;
 
-std::string to_text(const endpoint& address) {
-  return address.address + ":" + std::to_string(address.port);
-}
-
 std::uint64_t placement_of(const streams::stream_key& key) {
   return stable_hash(key.attempt, stable_hash(key.workspace));
 }
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -7,6 +7,7 @@
 #include <tuple>
 #include <utility>
 
+#include "hawthornnotch/config/json_reader.h"
 #include "hawthornnotch/net/deflate.h"
 #include "hawthornnotch/observe/log.h"
 #include "limit_events.h"
@@ -39,10 +40,6 @@
 /// Minimum time between two rounds of exchanges about crashes.
 constexpr duration min_news_interval{100};
 
-std::string to_text(const endpoint& address) {
-  return address.address + ":" + std::to_string(address.port);
-}
-
 net::header_list own_features() {
   return {{std::string(features_header), std::string(limits_feature)},
           {std::string(features_header), std::string(suspicions_feature)},
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -18,10 +18,6 @@
 using internal::object_reader;
 using internal::read_number;
 
-std::string to_text(const endpoint& address) {
-  return address.address + ":" + std::to_string(address.port);
-}
-
 json::object to_json(const server_work& work) {
   return {{"server", work.server},
           {"running", work.running},
--- a/src/streams/origin_message.cpp
+++ b/src/streams/origin_message.cpp
@@ -1,7 +1,6 @@
 #include "hawthornnotch/streams/origin_message.h"
 
 #include <boost/json.hpp>
-#include <optional>
 
 #include "hawthornnotch/config/json_reader.h"
 
@@ -13,15 +12,6 @@
 
 constexpr integer_range age_range_ms{0, max_stream_age.ms};
 
-std::optional<json::object> parse_object(std::string_view text) {
-  boost::system::error_code error;
-  json::value value = json::parse(json::string_view(text.data(), text.size()), error);
-  if (error || !value.is_object()) {
-    return std::nullopt;
-  }
-  return std::move(value.as_object());
-}
-
 json::object to_json(const stream_key& key) {
   return {{"workspace", key.workspace}, {"service", key.service}, {"attempt", key.attempt}};
 }
--- a/src/streams/stream_record.cpp
+++ b/src/streams/stream_record.cpp
@@ -3,6 +3,8 @@
 #include <boost/json.hpp>
 #include <map>
 
+#include "hawthornnotch/config/json_reader.h"
+
 namespace hawthornnotch::streams {
 
 namespace {
@@ -81,21 +83,19 @@
 }
 
 result<stream_record, record_failure> decode_stream_record(std::string_view text) {
-  boost::system::error_code error;
-  const json::value value = json::parse(json::string_view(text.data(), text.size()), error);
-  if (error || !value.is_object()) {
+  const auto object = parse_object(text);
+  if (!object) {
     return failed{record_failure::malformed};
   }
   bool good = true;
   record_reader reader(good);
   stream_record out;
-  for (const auto& [service, names] : reader.object(value.get_object().if_contains(versions_key))) {
+  for (const auto& [service, names] : reader.object(object->if_contains(versions_key))) {
     for (std::string& name : reader.texts(names)) {
       out.recent_versions[std::string(service)].insert(std::move(name));
     }
   }
-  for (const auto& [service, by_version] :
-       reader.object(value.get_object().if_contains(streams_key))) {
+  for (const auto& [service, by_version] : reader.object(object->if_contains(streams_key))) {
     for (const auto& [version, by_workspace] : reader.object(&by_version)) {
       for (const auto& [workspace, ids] : reader.object(&by_workspace)) {
         for (std::string& id : reader.texts(ids)) {
