--- a/tests/dispatch/retries_after_restarts_test.cpp
+++ b/tests/dispatch/retries_after_restarts_test.cpp
@@ -110,6 +110,22 @@
   assert_kept(fleet);
 }
 
+// Their callers come to the others, where their requests earn what has been spent.
+TEST_THAT(retry_budget, holds_when_half_of_the_vms_end_after_they_have_spent_all) {
+  budget_fleet::settings what = small_fleet();
+  what.requests_per_s_per_vm = 60;
+  budget_fleet fleet(what);
+  fleet.set_retries_wanted(false);
+  fleet.run_for(warm_up);
+  fleet.set_retries_wanted(true);
+  fleet.run_for(1_s);
+  for (std::size_t vm = 0; vm < fleet.size(); vm += 2) {
+    fleet.remove(vm);
+  }
+  fleet.run_for(12_s);
+  assert_kept(fleet);
+}
+
 TEST_THAT(retry_budget, holds_while_vms_are_replaced_by_others) {
   budget_fleet fleet(small_fleet());
   fleet.run_for(warm_up);
