--- a/tests/dispatch/retry_budget_cut_test.cpp
+++ b/tests/dispatch/retry_budget_cut_test.cpp
@@ -47,5 +47,21 @@
   CPPUNIT_ASSERT_MESSAGE(std::to_string(retries) + " retries", retries <= 52);
 }
 
+// It may have started while it was cut off from all others.
+TEST_THAT(retry_budget, grants_no_slack_to_a_vm_that_has_heard_of_nobody) {
+  const time_point started{100'000};
+  const time_point later = started + 60_s;
+  const relay::peer self = make_vm(0);
+  const relay::peer_set cut_off(self, {make_vm(1).address}, {});
+  const relay::peer_set only_vm(self, {self.address}, {});
+  retry_budget budget({.slack = 52}, started);
+  const bool cut_off_allowed =
+      budget.take("forecast", {cut_off.member_count(), std::nullopt}, later).allowed;
+  const bool only_vm_allowed =
+      budget.take("forecast", {only_vm.member_count(), std::nullopt}, later).allowed;
+  CPPUNIT_ASSERT(!cut_off_allowed);
+  CPPUNIT_ASSERT(only_vm_allowed);
+}
+
 }  // namespace
 }  // namespace hawthornnotch::dispatch
