Test, red: a take-up is refused though its stream began when one version was left

After a restart of all VMs only the VM that gets a take-up reads the records of the versions before; the others tell nobody of their streams, and their callers' take-ups elsewhere are refused. Found by reading; a fleet of more VMs than a stream has keepers shows it.

--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -457,16 +457,17 @@
   launch("entry-1", {});
 }
 
-void gateway_fixture::restart() {
+void gateway_fixture::restart(std::vector<endpoint> seeds) {
   gateway_->begin_stop();
   thread_.join();
   gateway_.reset();
-  start();
+  start_vm(vm_, std::move(seeds));
 }
 
 void gateway_fixture::launch(std::string vm, std::vector<endpoint> seeds) {
+  vm_ = std::move(vm);
   gateway::gateway_settings settings;
-  settings.vm = std::move(vm);
+  settings.vm = vm_;
   settings.seeds = std::move(seeds);
   settings.failure_domain = "zg-istok";
   const endpoint any_port{"127.0.0.1", 0};
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -186,7 +186,7 @@
   // As `start`, under a VM name of its own, for fleets of more than two.
   void start_vm(std::string vm, std::vector<endpoint> seeds);
   // Ends the process and starts a new one without any state under the same VM name.
-  void restart();
+  void restart(std::vector<endpoint> seeds = {});
   // Starts the gateway while the store is unavailable; requests wait for the store.
   void start_without_store();
   // Starts the gateway with an empty retry budget and waits until it is ready.
@@ -224,6 +224,7 @@
   std::vector<std::unique_ptr<fake_server>> servers_;
   void launch(std::string vm, std::vector<endpoint> seeds);
 
+  std::string vm_;
   dispatch::retry_budget_settings retries_{.window = duration{50}};
   duration startup_hold_{400};
   duration stop_grace_{450};
--- a/tests/gateway/joined_versions_test.cpp
+++ b/tests/gateway/joined_versions_test.cpp
@@ -1,6 +1,7 @@
 // Guards against streams that go on at another software version than the one that began them.
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
 #include <tuple>
@@ -212,6 +213,49 @@
   }
 }
 
+// The streams began after the restart, when only the new version was left.
+TEST_THAT(resumed_stream, goes_on_at_another_entry_vm_if_it_began_after_a_restart_of_all) {
+  // More than a stream's keepers.
+  constexpr std::size_t vms = 6;
+  std::vector<std::unique_ptr<gateway_fixture>> fleet;
+  for (std::size_t vm = 0; vm < vms; ++vm) {
+    fleet.push_back(std::make_unique<gateway_fixture>());
+  }
+  gateway_fixture& first = *fleet.front();
+  fake_server& old_server = add_versioned(first, "old", "v1", stream_two_and_abort);
+  fake_server& fresh = add_versioned(first, "new", "v2", stream_two_and_abort);
+  const auto all_known = [&] {
+    for (const auto& vm : fleet) {
+      vm->await([&] { return vm->metric("hawthornnotch_live_entry_vms") == double{vms}; });
+    }
+  };
+  for (std::size_t vm = 0; vm < vms; ++vm) {
+    list_version(*fleet[vm], "old", old_server.address(), "v1");
+    list_version(*fleet[vm], "new", fresh.address(), "v2");
+    fleet[vm]->start_vm("entry-" + std::to_string(vm),
+                        vm == 0 ? std::vector<endpoint>{} : std::vector{first.peers()});
+  }
+  all_known();
+  std::this_thread::sleep_for(list_reading_time);
+  for (const auto& vm : fleet) {
+    vm->store().erase("servers/old");
+  }
+  for (std::size_t vm = 0; vm < vms; ++vm) {
+    fleet[vm]->restart(vm == 0 ? std::vector<endpoint>{} : std::vector{first.peers()});
+  }
+  all_known();
+  std::this_thread::sleep_for(record_writing_time);
+  for (int number = 0; number < streams; ++number) {
+    std::ignore = first.call(make_stream("a" + std::to_string(number)));
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  for (int number = 0; number < streams; ++number) {
+    const std::string resumed = "b" + std::to_string(number);
+    std::ignore = fleet.back()->call(make_resumption(resumed, "a" + std::to_string(number)));
+    CPPUNIT_ASSERT_MESSAGE(resumed, received_attempt(fresh, resumed));
+  }
+}
+
 // All entry VMs are killed at once, after the last server of the old version has left.
 TEST_THAT(resumed_stream, is_refused_after_a_restart_of_all_if_an_old_version_has_just_left) {
   gateway_fixture fixture;
