Read the records of versions when a process starts, not at its first take-up

Seen by callers: after a restart of all VMs, soon after an old version had left, streams that began at the one version left could be refused at other VMs. Cause: a process learned of the version that had left only when it was asked for an unknown stream, and until then told nobody of its own. Ruled out: gossip of recent versions, which costs each message; the read at the start costs one call a process.

With it: the check runs only until the records are read and while versions are mixed (it woke each VM 20 times a second, always); failed calls for the records are logged as dependency store_streams, they were dropped silently; and a record is bounded, as a value of the store is.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -77,7 +77,7 @@
       : shared_(settings, wire, make_own_peer(settings, system_clock()),
                 stable_hash(make_incarnation())),
         updater_(shared_, {[this] { on_change(); }, [this] { on_restore(); },
-                           [this](auto services) { origins_.on_versions_mixed(services); }}),
+                           [this](auto services) { on_versions_mixed(services); }}),
         crashes_(shared_, context_.get_executor(), [this] { link_.spread_news(); }),
         link_(shared_, updater_, crashes_, context_.get_executor()),
         origins_(shared_, context_.get_executor()),
@@ -245,6 +245,13 @@
     link_.notify_peers();
   }
 
+  void on_versions_mixed(std::span<const std::string> services) {
+    origins_.on_versions_mixed(services);
+    if (stream_records_) {
+      stream_records_->on_versions_mixed();
+    }
+  }
+
   void on_restore() {
     if (registration_) {
       registration_->on_store_restored();
--- a/src/gateway/stream_records.cpp
+++ b/src/gateway/stream_records.cpp
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "hawthornnotch/observe/log.h"
-#include "store_sync.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -21,6 +20,10 @@
 constexpr duration renewal_period{20'000};
 /// A record that is no longer renewed outlives all streams.
 constexpr duration lease_ttl = streams::max_stream_age + renewal_period;
+/// Pause after the records could not be read.
+constexpr duration read_retry_period{2'000};
+/// A record holds no more streams than this, the last that began; a value in the store is limited.
+constexpr std::size_t max_recorded_streams = 8'000;
 constexpr std::chrono::milliseconds check_period{50};
 constexpr duration min_call_interval{250};
 constexpr duration call_interval_per_vm{15};
@@ -38,11 +41,18 @@
       timer_(executor),
       started_at_(shared.time.now()) {}
 
+void stream_records::start() {
+  if (!scheduled_) {
+    scheduled_ = true;
+    schedule();
+  }
+}
+
 void stream_records::schedule() {
   timer_.expires_after(check_period);
   timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      update();
+    scheduled_ = !error && update();
+    if (scheduled_) {
       schedule();
     }
   });
@@ -57,27 +67,34 @@
   return std::string(record_key_prefix) + shared_.settings.vm;
 }
 
-void stream_records::update() {
+bool stream_records::update() {
   const time_point now = shared_.time.now();
+  if (!history_known()) {
+    const bool due = !read_tried_at_ || now - *read_tried_at_ >= read_retry_period;
+    if (!reading_ && due) {
+      read();
+    }
+    return true;
+  }
   streams::version_sets mixed = shared_.versions.mixed_services(now);
   if (mixed.empty()) {
     // The lease runs out by itself.
     written_.clear();
     lease_ = 0;
-    return;
-  }
-  if (call_open_ || reading_ || now - called_at_ < call_interval()) {
-    return;
+    return false;
   }
-  called_at_ = now;
-  if (!read_at_) {
-    read();
-    return;
+  if (!call_open_ && now - called_at_ >= call_interval()) {
+    called_at_ = now;
+    update_record(std::move(mixed));
   }
+  return true;
+}
+
+void stream_records::update_record(streams::version_sets mixed) {
   std::string value = compose(std::move(mixed));
   if (lease_ == 0 || value != written_) {
     write(std::move(value));
-  } else if (now - renewed_at_ >= renewal_period) {
+  } else if (shared_.time.now() - renewed_at_ >= renewal_period) {
     renew();
   }
 }
@@ -89,6 +106,14 @@
     std::move(own.begin(), own.end(), std::back_inserter(record.streams));
   }
   record.recent_versions = std::move(mixed);
+  const auto younger = [](const streams::stream_origin& a, const streams::stream_origin& b) {
+    return a.age < b.age;
+  };
+  if (record.streams.size() > max_recorded_streams) {
+    const auto end = record.streams.begin() + max_recorded_streams;
+    std::nth_element(record.streams.begin(), end, record.streams.end(), younger);
+    record.streams.erase(end, record.streams.end());
+  }
   return streams::encode(record);
 }
 
@@ -98,14 +123,13 @@
     platform::transaction change;
     change.effects.emplace_back(platform::put{own_key(), text, lease});
     store_.transact(std::move(change), [this, text, lease](auto outcome) {
-      call_open_ = false;
-      if (outcome) {
-        written_ = text;
-        lease_ = lease;
-        renewed_at_ = shared_.time.now();
-      } else if (outcome.last_reason().kind == platform::failure_kind::lease_gone) {
-        lease_ = 0;
+      if (!outcome) {
+        finish_write(failed{outcome.last_reason()});
+        return;
       }
+      written_ = text;
+      lease_ = lease;
+      finish_write(ok);
     });
   };
   if (lease_ != 0) {
@@ -116,7 +140,7 @@
     if (lease) {
       put_value(value, *lease);
     } else {
-      call_open_ = false;
+      finish_write(failed{lease.last_reason()});
     }
   });
 }
@@ -124,22 +148,33 @@
 void stream_records::renew() {
   call_open_ = true;
   store_.keep_alive(lease_, [this](auto lease) {
-    call_open_ = false;
     if (lease) {
-      renewed_at_ = shared_.time.now();
-    } else if (lease.last_reason().kind == platform::failure_kind::lease_gone) {
-      lease_ = 0;
+      finish_write(ok);
+    } else {
+      finish_write(failed{lease.last_reason()});
     }
   });
 }
 
+void stream_records::finish_write(const status<platform::platform_failure>& outcome) {
+  call_open_ = false;
+  if (outcome) {
+    renewed_at_ = shared_.time.now();
+    store_streams_.on_success();
+    return;
+  }
+  const platform::failure_kind reason = outcome.last_reason().kind;
+  lease_ = reason == platform::failure_kind::lease_gone ? 0 : lease_;
+  store_streams_.on_failure(to_string(reason));
+}
+
 bool stream_records::history_known() const {
   return read_at_ || shared_.time.now() - started_at_ >= streams::max_stream_age;
 }
 
 asio::awaitable<void> stream_records::refresh() {
   const time_point now = shared_.time.now();
-  const bool due = now - read_tried_at_ >= call_interval();
+  const bool due = !read_tried_at_ || now - *read_tried_at_ >= call_interval();
   if (!reading_ && due) {
     read();
   }
@@ -157,11 +192,12 @@
   store_.read_prefix(std::string(record_key_prefix), [this](auto answer) {
     reading_ = false;
     if (answer) {
+      store_streams_.on_success();
       read_at_ = shared_.time.now();
       add_records(answer->found);
+      start();
     } else {
-      log_event(level::warning, "stream_records_unread",
-                {{"why", to_string(answer.last_reason().kind)}});
+      store_streams_.on_failure(to_string(answer.last_reason().kind));
     }
   });
 }
--- a/src/gateway/stream_records.h
+++ b/src/gateway/stream_records.h
@@ -12,13 +12,14 @@
 #include "gateway_state.h"
 #include "hawthornnotch/platform/client.h"
 #include "hawthornnotch/streams/stream_record.h"
+#include "store_sync.h"
 
 namespace hawthornnotch::gateway::internal {
 
 // While a service has more than one recent version, each VM writes its recent versions and the
 // origins of its unfinished streams under one key, with a lease that outlives these streams. So
 // they are known after a restart of the whole fleet; otherwise nothing is written. A process reads
-// the records before its first write, and when it is asked for a stream that no other VM knows.
+// the records when it starts, and when it is asked for a stream that no other VM knows.
 //
 // Ownership: refers to the state and the store, which outlive it.  Thread safety: none.
 class stream_records {
@@ -26,7 +27,10 @@
   stream_records(gateway_state& shared, platform::key_value_store& store,
                  const boost::asio::any_io_executor& executor);
 
-  void start() { schedule(); }
+  // Starts to read, and to write while versions are mixed.
+  void start();
+  // Starts to write, since versions are mixed now.
+  void on_versions_mixed() { start(); }
   // Reads the records into the state, unless this was done a moment ago.
   boost::asio::awaitable<void> refresh();
   // \returns whether `gateway_state::versions` knows all recent versions: this process has read the
@@ -35,7 +39,11 @@
 
  private:
   void schedule();
-  void update();
+  // \returns whether there is more to read or to write.
+  bool update();
+  void update_record(streams::version_sets mixed);
+  // Called at the end of each call that writes.
+  void finish_write(const status<platform::platform_failure>& outcome);
   [[nodiscard]] std::string compose(streams::version_sets mixed) const;
   void write(std::string value);
   void renew();
@@ -50,6 +58,7 @@
   platform::key_value_store& store_;
   boost::asio::any_io_executor executor_;
   boost::asio::steady_timer timer_;
+  bool scheduled_ = false;
   time_point started_at_;
   // The record in the store, and its lease; empty and 0 while there is none.
   std::string written_;
@@ -58,8 +67,9 @@
   time_point called_at_;
   bool call_open_ = false;
   std::optional<time_point> read_at_;
-  time_point read_tried_at_;
+  std::optional<time_point> read_tried_at_;
   bool reading_ = false;
+  dependency_monitor store_streams_{"store_streams"};
 };
 
 }  // namespace hawthornnotch::gateway::internal
