--- a/include/hawthornnotch/member/fleet_codec.h
+++ b/include/hawthornnotch/member/fleet_codec.h
@@ -21,9 +21,6 @@
 /// \returns the key of a VM's announcement.
 std::string announcement_key(std::string_view failure_domain, std::string_view id);
 
-/// \returns `address:port`.
-std::string to_string(const endpoint& at);
-
 /// Format: `{"kind": "backend_server", "id", "incarnation", "failure_domain", "address":
 /// "a.b.c.d:port", "serves": [...], "slots", "service": bool, "leaving": bool,
 /// "checks_fencing": bool}`.
--- a/src/claim/claim_record.cpp
+++ b/src/claim/claim_record.cpp
@@ -21,26 +21,26 @@
                                   state_names.begin());
 }
 
-std::optional<std::string> get_string(const json::object& object, std::string_view key) {
+std::optional<std::string> text_member(const json::object& object, std::string_view key) {
   const json::value* value = object.if_contains(key);
   const json::string* text = value == nullptr ? nullptr : value->if_string();
   return text == nullptr ? std::nullopt : std::optional<std::string>(std::string(*text));
 }
 
-std::int64_t get_int64(const json::object& object, std::string_view key) {
+std::int64_t integer_member(const json::object& object, std::string_view key) {
   const json::value* value = object.if_contains(key);
   const std::int64_t* number = value == nullptr ? nullptr : value->if_int64();
   return number == nullptr ? 0 : *number;
 }
 
 std::optional<recorded_answer> parse_answer(const json::object& object) {
-  const auto type = get_string(object, "type");
-  const auto body = get_string(object, "body");
+  const auto type = text_member(object, "type");
+  const auto body = text_member(object, "body");
   const json::value* kept = object.if_contains("body_kept");
   if (!type || !body || kept == nullptr || !kept->is_bool()) {
     return std::nullopt;
   }
-  return recorded_answer{static_cast<unsigned>(get_int64(object, "status")), *type, *body,
+  return recorded_answer{static_cast<unsigned>(integer_member(object, "status")), *type, *body,
                          kept->get_bool()};
 }
 
@@ -100,17 +100,17 @@
     return std::nullopt;
   }
   const json::object& object = value.get_object();
-  const std::size_t state = parse_state(get_string(object, "state").value_or(""));
-  const auto nonce = get_string(object, "nonce");
-  const auto fingerprint = get_string(object, "fingerprint");
+  const std::size_t state = parse_state(text_member(object, "state").value_or(""));
+  const auto nonce = text_member(object, "nonce");
+  const auto fingerprint = text_member(object, "fingerprint");
   if (state == state_names.size() || !nonce || !fingerprint) {
     return std::nullopt;
   }
   claim_record record{static_cast<record_state>(state),
                       *nonce,
                       *fingerprint,
-                      utf8_to_latin1(get_string(object, "request").value_or("")),
-                      {get_int64(object, "claimed_at")},
+                      utf8_to_latin1(text_member(object, "request").value_or("")),
+                      {integer_member(object, "claimed_at")},
                       {}};
   if (record.state == record_state::done) {
     auto answer = parse_answer(object);
--- a/src/ctl/in_force.cpp
+++ b/src/ctl/in_force.cpp
@@ -62,7 +62,7 @@
 table describe(const std::vector<agent_state>& states, std::uint64_t revision) {
   table agent_table{{"failure_domain", "agent", "revision", "state"}, {}};
   for (const agent_state& state : states) {
-    agent_table.rows.push_back({state.failure_domain, to_string(state.agent),
+    agent_table.rows.push_back({state.failure_domain, to_text(state.agent),
                                 state.revision ? std::to_string(*state.revision) : "-",
                                 std::string(state_text(state, revision))});
   }
@@ -73,7 +73,7 @@
   std::string names;
   for (const agent_state& state : states) {
     names += names.empty() ? "" : ", ";
-    names += state.failure_domain + " (" + to_string(state.agent) + ")";
+    names += state.failure_domain + " (" + to_text(state.agent) + ")";
   }
   return names;
 }
--- a/src/ctl/process_commands.cpp
+++ b/src/ctl/process_commands.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <thread>
 
+#include "hawthornnotch/config/json_reader.h"
 #include "hawthornnotch/ctl/run.h"
 #include "hawthornnotch/member/fleet_codec.h"
 
@@ -48,7 +49,7 @@
     if (!response && response.last_reason().kind == net::net_failure_kind::connect) {
       return true;
     }
-    remote.progress_line().show("waiting for " + to_string(address) + " to end its work");
+    remote.progress_line().show("waiting for " + to_text(address) + " to end its work");
     std::this_thread::sleep_for(poll_interval);
   }
   return false;
@@ -60,11 +61,11 @@
   const auto response = remote.fetch(arguments.address, "GET", "/dump");
   if (!response) {
     return fail(exit_code::unreachable,
-                to_string(arguments.address) + ": " + describe(response.last_reason()));
+                to_text(arguments.address) + ": " + describe(response.last_reason()));
   }
   if (response->status != status_ok) {
     return fail(exit_code::absent,
-                to_string(arguments.address) + " answered " + std::to_string(response->status));
+                to_text(arguments.address) + " answered " + std::to_string(response->status));
   }
   return report{parse_or_text(response->body), exit_code::done, ""};
 }
@@ -80,12 +81,12 @@
   for (std::size_t index = 0; index < routers.size(); ++index) {
     const auto& response = responses[index];
     if (!response || (response->status != status_ok && response->status != status_not_found)) {
-      unanswered += (unanswered.empty() ? "" : ", ") + to_string(routers[index]);
+      unanswered += (unanswered.empty() ? "" : ", ") + to_text(routers[index]);
       continue;
     }
     boost::json::value decisions = parse_or_text(response->body);
     if (response->status == status_ok && has_decisions(decisions)) {
-      found.push_back(boost::json::object{{"router", to_string(routers[index])},
+      found.push_back(boost::json::object{{"router", to_text(routers[index])},
                                           {"decisions", std::move(decisions)}});
     }
   }
@@ -105,14 +106,14 @@
   if (!response) {
     const bool may_have_been_sent = response.last_reason().request_may_have_been_sent;
     return fail(may_have_been_sent ? exit_code::unknown : exit_code::unreachable,
-                to_string(arguments.address) + ": " + describe(response.last_reason()) +
+                to_text(arguments.address) + ": " + describe(response.last_reason()) +
                     (may_have_been_sent ? "; the same command may be repeated" : ""));
   }
   if (response->status != status_ok && response->status != status_accepted) {
     return fail(response->status == status_not_found ? exit_code::absent : exit_code::conflict,
-                to_string(arguments.address) + " answered " + std::to_string(response->status));
+                to_text(arguments.address) + " answered " + std::to_string(response->status));
   }
-  table process_table{{"process", "state"}, {{to_string(arguments.address), "draining"}}};
+  table process_table{{"process", "state"}, {{to_text(arguments.address), "draining"}}};
   if (!arguments.wait) {
     return report{std::move(process_table), exit_code::done, ""};
   }
--- a/src/ctl/vm_commands.cpp
+++ b/src/ctl/vm_commands.cpp
@@ -177,10 +177,9 @@
 }
 
 std::string address_of(const fleet_vm& vm) {
-  return std::visit(
-      overloaded{[](const backend_server& server) { return to_string(server.address); },
-                 [](const entry_vm& entry) { return to_string(entry.agent); }},
-      vm);
+  return std::visit(overloaded{[](const backend_server& server) { return to_text(server.address); },
+                               [](const entry_vm& entry) { return to_text(entry.agent); }},
+                    vm);
 }
 
 std::string role_of(const fleet_vm& vm) {
--- a/src/gateway/origin_link.cpp
+++ b/src/gateway/origin_link.cpp
@@ -96,7 +96,13 @@
                                                 std::vector<streams::stream_origin> what) {
   streams::origin_message message;
   message.origins = std::move(what);
-  std::ignore = co_await exchange(to, message);
+  const auto answer = co_await exchange(to, message);
+  if (!answer) {
+    // The store's record and the other keepers remain.
+    shared_.metrics->count("hawthornnotch_origins_untold_total", {});
+    observe::log_event(observe::level::debug, "origins_untold",
+                       {{"peer", to.address}, {"origins", message.origins.size()}});
+  }
 }
 
 asio::awaitable<origin_link::search_result> origin_link::find(streams::stream_key key) {
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -97,8 +97,7 @@
 }
 
 void proxied_request::on_stream_finished() {
-  const bool resumed = !request_.resumed_attempt.empty();
-  shared_.origins.finish(stream_key_of(resumed ? request_.resumed_attempt : request_.id));
+  shared_.origins.finish(stream_key_of(resumes_stream() ? request_.resumed_attempt : request_.id));
 }
 
 }  // namespace hawthornnotch::gateway::internal
--- a/src/member/fact_digest.cpp
+++ b/src/member/fact_digest.cpp
@@ -6,7 +6,7 @@
 
 #include "hawthornnotch/base/hash.h"
 #include "hawthornnotch/base/result.h"
-#include "hawthornnotch/member/fleet_codec.h"
+#include "hawthornnotch/config/json_reader.h"
 
 namespace hawthornnotch::member {
 
@@ -36,7 +36,7 @@
 std::uint64_t hash_of(const backend_record& record) {
   const backend_server& server = record.server;
   fact_hasher hasher;
-  hasher.add(server.incarnation).add(server.failure_domain).add(to_string(server.address));
+  hasher.add(server.incarnation).add(server.failure_domain).add(to_text(server.address));
   hasher.add(static_cast<std::uint64_t>(server.kind)).add(server.serves);
   hasher.add(server.slots).add(server.leaving ? 1 : 0).add(server.checks_fencing ? 1 : 0);
   hasher.add(static_cast<std::uint64_t>(record.announced_at));
@@ -46,8 +46,8 @@
 std::uint64_t hash_of(const vm_record& record) {
   const entry_vm& vm = record.vm;
   fact_hasher hasher;
-  hasher.add(vm.incarnation).add(vm.failure_domain).add(to_string(vm.agent));
-  hasher.add(to_string(vm.router)).add(vm.leaving ? 1 : 0).add(record.start_heartbeat);
+  hasher.add(vm.incarnation).add(vm.failure_domain).add(to_text(vm.agent));
+  hasher.add(to_text(vm.router)).add(vm.leaving ? 1 : 0).add(record.start_heartbeat);
   return hasher.hash();
 }
 
--- a/src/member/fleet_codec.cpp
+++ b/src/member/fleet_codec.cpp
@@ -37,15 +37,13 @@
   return announcement_prefix_of(failure_domain).append(id);
 }
 
-std::string to_string(const endpoint& at) { return at.address + ":" + std::to_string(at.port); }
-
 boost::json::object to_json(const backend_server& server) {
   boost::json::object out;
   out["kind"] = backend_server_kind;
   out["id"] = server.id;
   out["incarnation"] = server.incarnation;
   out["failure_domain"] = server.failure_domain;
-  out["address"] = to_string(server.address);
+  out["address"] = to_text(server.address);
   boost::json::array serves;
   for (const auto& name : server.serves) {
     serves.emplace_back(name);
@@ -64,8 +62,8 @@
   out["id"] = vm.id;
   out["incarnation"] = vm.incarnation;
   out["failure_domain"] = vm.failure_domain;
-  out["agent"] = to_string(vm.agent);
-  out["router"] = to_string(vm.router);
+  out["agent"] = to_text(vm.agent);
+  out["router"] = to_text(vm.router);
   out["leaving"] = vm.leaving;
   return out;
 }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_future.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +30,10 @@
 using net::http_request;
 using net::http_response;
 
+// Longest wait for a condition, and how often it is checked.
+constexpr auto await_timeout = std::chrono::seconds(20);
+constexpr auto poll_period = std::chrono::milliseconds(5);
+
 // Two threads that run the fakes.
 class loopback_runtime {
  public:
@@ -108,6 +113,12 @@
   std::unique_ptr<net::http_server> server_;
 };
 
+// The text of a server's entry in the server list.
+// \param start_time tells restarts of the server apart.
+// \param version of its software; not in the entry if empty.
+std::string entry_text(const std::string& service, const endpoint& address, bool leaving = false,
+                       std::int64_t start_time = 1, const std::string& version = "");
+
 // A backend server that records requests and answers with a given behaviour.
 class fake_server {
  public:
--- a/tests/gateway/joined_versions_test.cpp
+++ b/tests/gateway/joined_versions_test.cpp
@@ -18,10 +18,7 @@
 // Lists a server with the version of its software.
 void list_version(gateway_fixture& fixture, const std::string& id, const endpoint& address,
                   const std::string& version) {
-  fixture.store().put("servers/" + id, R"({"Service":"forecast","Address":"127.0.0.1:)" +
-                                           std::to_string(address.port) +
-                                           R"(","Zone":"zg-istok","Version":")" + version +
-                                           R"(","Slots":8,"State":"ready","born":1})");
+  fixture.store().put("servers/" + id, entry_text("forecast", address, false, 1, version));
 }
 
 fake_server& add_versioned(gateway_fixture& fixture, const std::string& id,
