Tell bytes that a server never acknowledged from an answer that is late

send_failed said timed_out for both. Only the first is evidence about the path to the server: in the record of the incident both occur, and requests that went out on dead connections could be told only by their 1.51 s.

--- a/include/hawthornnotch/net/http_message.h
+++ b/include/hawthornnotch/net/http_message.h
@@ -36,6 +36,8 @@
   address_in_use,
   connect,
   timed_out,
+  /// The operating system gave up on sent bytes that the peer never acknowledged.
+  unacknowledged,
   closed,
   too_large,
   malformed,
--- a/src/net/beast_support.cpp
+++ b/src/net/beast_support.cpp
@@ -12,10 +12,12 @@
 }  // namespace
 
 net_failure_kind to_failure_kind(const error_code& error) {
-  // The kernel reports sent bytes that were never acknowledged as timed_out.
-  if (error == beast::error::timeout || error == asio::error::timed_out) {
+  if (error == beast::error::timeout) {
     return net_failure_kind::timed_out;
   }
+  if (error == asio::error::timed_out) {
+    return net_failure_kind::unacknowledged;
+  }
   if (error == asio::error::operation_aborted) {
     return net_failure_kind::cancelled;
   }
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -43,6 +43,8 @@
       return "connect";
     case net_failure_kind::timed_out:
       return "timed_out";
+    case net_failure_kind::unacknowledged:
+      return "unacknowledged";
     case net_failure_kind::closed:
       return "closed";
     case net_failure_kind::too_large:
--- a/src/platform/call_support.cpp
+++ b/src/platform/call_support.cpp
@@ -19,6 +19,7 @@
     case net::net_failure_kind::cancelled:
       return failure_kind::unreachable;
     case net::net_failure_kind::timed_out:
+    case net::net_failure_kind::unacknowledged:
       return failure_kind::timed_out;
     case net::net_failure_kind::too_large:
     case net::net_failure_kind::malformed:
