--- a/include/hawthornnotch/gateway/gateway.h
+++ b/include/hawthornnotch/gateway/gateway.h
@@ -35,9 +35,14 @@
 /// `begin_stop`, which may be called from any thread.
 class gateway {
  public:
-  /// Opens all listening sockets.  \returns the gateway, or why a socket could not be opened.
+  /// Opens all listening sockets.
+  /// \param http connects to backend servers, peers and the store.
+  /// \returns the gateway, or why a socket could not be opened.
   [[nodiscard]] static result<std::unique_ptr<gateway>, net::net_failure> create(
-      gateway_settings settings, const protocol& wire, const store_factory& make_store);
+      gateway_settings settings, const protocol& wire, const store_factory& make_store,
+      std::unique_ptr<net::http_client> http = make_http_client());
+  /// \returns a client with the limits on idle connections that suit an entry VM.
+  [[nodiscard]] static std::unique_ptr<net::http_client> make_http_client();
   virtual ~gateway() = default;
   /// Serves until a stop completes.  \returns whether every request in progress finished.
   virtual bool run() = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,7 +73,8 @@
 
 class gateway_impl final : public gateway {
  public:
-  gateway_impl(gateway_settings settings, const protocol& wire)
+  gateway_impl(gateway_settings settings, const protocol& wire,
+               std::unique_ptr<net::http_client> http)
       : shared_(settings, wire, make_own_peer(settings, system_clock()),
                 stable_hash(make_incarnation())),
         updater_(shared_, {[this] { on_change(); }, [this] { on_restore(); },
@@ -82,7 +83,7 @@
         link_(shared_, updater_, crashes_, context_.get_executor()),
         origins_(shared_, context_.get_executor()),
         stop_timer_(context_) {
-    shared_.http = net::http_client::create(idle_connection_limits());
+    shared_.http = std::move(http);
     shared_.dispatcher.limits().start(shared_.settings.vm, shared_.time.now());
   }
 
@@ -331,12 +332,17 @@
 }  // namespace internal
 
 result<std::unique_ptr<gateway>, net::net_failure> gateway::create(
-    gateway_settings settings, const protocol& wire, const store_factory& make_store) {
-  auto made = std::make_unique<internal::gateway_impl>(std::move(settings), wire);
+    gateway_settings settings, const protocol& wire, const store_factory& make_store,
+    std::unique_ptr<net::http_client> http) {
+  auto made = std::make_unique<internal::gateway_impl>(std::move(settings), wire, std::move(http));
   if (auto listening = made->listen(make_store); !listening) {
     return failed{listening.last_reason()};
   }
   return std::unique_ptr<gateway>(std::move(made));
 }
 
+std::unique_ptr<net::http_client> gateway::make_http_client() {
+  return net::http_client::create(internal::idle_connection_limits());
+}
+
 }  // namespace hawthornnotch::gateway
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <chrono>
 #include <tuple>
+#include <utility>
 
 #include "platform/store_client.h"
 #include "test_case.h"
@@ -104,7 +105,8 @@
   settings.retries = retries_;
   settings.startup_hold = startup_hold_;
   settings.stop_grace = stop_grace_;
-  auto made = gateway::gateway::create(settings, wire_, adapter::make_store_client);
+  auto made = gateway::gateway::create(settings, wire_, adapter::make_store_client,
+                                       std::exchange(http_, gateway::gateway::make_http_client()));
   CPPUNIT_ASSERT(made.has_value());
   gateway_ = std::move(*made);
   thread_ = std::thread([this] { gateway_->run(); });
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -192,6 +192,8 @@
   // Gives the gateway the time to drain after a signal to stop; call before `start`.  By default it
   // stops soon, so that a test does not wait for it at its end.
   void allow_drain() { stop_grace_ = duration{5'000}; }
+  // Connects to servers and peers through this client; call before `start`.
+  void connect_through(std::unique_ptr<net::http_client> http) { http_ = std::move(http); }
   // Starts the gateway and waits until it is ready.
   void start(std::vector<endpoint> seeds = {});
   // As `start`, under a VM name of its own, for fleets of more than two.
@@ -239,6 +241,7 @@
   dispatch::retry_budget_settings retries_{.window = duration{50}};
   duration startup_hold_{400};
   duration stop_grace_{450};
+  std::unique_ptr<net::http_client> http_ = gateway::gateway::make_http_client();
   adapter::wire_protocol wire_;
   std::unique_ptr<gateway::gateway> gateway_;
   std::thread thread_;
