Send attempts through another entry VM where this one reaches no server

Callers of a VM that had lost its path to the servers got 502 and 503 while the other VMs reached them. Cause: an entry VM has one path to a server, its own; it tried one server after the other until all were tried or time was over. Evidence: in the record all 388 failed sends of the two VMs were connections that could not be opened, 18 in a request, and no other VM saw these requests. Ruled out: that what they saw spread (the others served 370 of 371).

A path is broken once a connection can't be opened or sent bytes are never acknowledged; a few others are checked then, and a service is cut off once a few paths broke and none worked since. Attempts at servers without a path go through another VM, which only sends; the VM that has the caller decides as before, so retries, permits and streams are counted once.

Tests: 0, 0 and 20 of 60 first tries before, 60 after, by each picture; 60 of 60 with a part of the servers lost. settle() sends the kinds side by side: one after the other, each waiting 1.5 s on a dead connection, it sent two requests.

--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -81,6 +81,8 @@
   /// random sample of the own failure domain and a smaller one of the others, because traffic
   /// between failure domains is expensive.  Each notified peer notifies others in turn.
   [[nodiscard]] std::vector<endpoint> peers_to_notify(time_point now, random_source& random) const;
+  /// \returns the addresses of the other live entry VMs.
+  [[nodiscard]] std::vector<endpoint> live_addresses(time_point now) const;
   /// \returns the number of live entry VMs, this one included; never 0.
   [[nodiscard]] std::size_t live_count(time_point now) const;
   /// \returns the number of entry VMs that may share a quota, this one, dead ones and those that
--- /dev/null
+++ b/src/gateway/forward_link.cpp
@@ -0,0 +1,276 @@
+#include "forward_link.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+#include <limits>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "hawthornnotch/net/end_to_end.h"
+#include "hawthornnotch/observe/log.h"
+
+namespace hawthornnotch::gateway::internal {
+
+namespace asio = boost::asio;
+using observe::level;
+using observe::log_event;
+
+namespace {
+
+/// Headers of a forwarded request.  They come before a caller's headers of the same name.
+constexpr std::string_view server_header = "Hawthornnotch-Forward-To";
+constexpr std::string_view start_time_header = "Hawthornnotch-Forward-Start-Time";
+constexpr std::string_view time_left_header = "Hawthornnotch-Forward-Time-Ms";
+constexpr std::string_view request_id_header = "Hawthornnotch-Forward-Request";
+constexpr std::string_view sender_header = "Hawthornnotch-Forward-From";
+/// Header of the response: whose it is, or what failed.
+constexpr std::string_view outcome_header = "Hawthornnotch-Forward-Outcome";
+constexpr std::string_view server_responded = "server";
+/// Nothing was sent, and this VM sends nothing to the service for now.
+constexpr std::string_view not_sent = "not_sent";
+/// Nothing was sent, since the server could not be reached.
+constexpr std::string_view server_unreachable = "server_unreachable";
+/// The request may have been sent.
+constexpr std::string_view may_be_sent = "may_be_sent";
+constexpr unsigned status_bad_gateway = 502;
+/// VMs that are asked to send one attempt.
+constexpr std::size_t max_asked_per_attempt = 4;
+/// VMs that find the server unreachable before the attempt fails.
+constexpr std::size_t max_unreachable_per_attempt = 2;
+constexpr duration connect_timeout{300};
+constexpr duration tcp_user_timeout{1'500};
+
+void erase_first(net::header_list& headers, std::string_view name) {
+  const auto found = std::find_if(headers.begin(), headers.end(), [&](const auto& each) {
+    return boost::beast::iequals(each.first, name);
+  });
+  if (found != headers.end()) {
+    headers.erase(found);
+  }
+}
+
+std::int64_t number_in(const net::http_request& request, std::string_view name) {
+  const std::string_view text = request.header(name).value_or("");
+  std::int64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+// The server's response without the header of the VM that forwarded it.
+class forwarded_response final : public net::response_stream {
+ public:
+  explicit forwarded_response(std::unique_ptr<net::response_stream> from_peer)
+      : from_peer_(std::move(from_peer)), head_(from_peer_->head()) {
+    erase_first(head_.headers, outcome_header);
+  }
+  [[nodiscard]] const net::http_response& head() const override { return head_; }
+  asio::awaitable<result<std::string, net::net_failure>> read() override {
+    return from_peer_->read();
+  }
+  void cancel() override { from_peer_->cancel(); }
+
+ private:
+  std::unique_ptr<net::response_stream> from_peer_;
+  net::http_response head_;
+};
+
+}  // namespace
+
+bool forward_link::has_forwarder(std::string_view service) const {
+  const time_point now = shared_.time.now();
+  return shared_.forwarders.has_any(service, shared_.peers.live_addresses(now), now);
+}
+
+asio::awaitable<result<std::unique_ptr<net::response_stream>, net::net_failure>> forward_link::open(
+    const forwarded_attempt& attempt, net::http_request message, net::exchange_limits limits,
+    std::size_t& refusals) {
+  const servers::server_entry& server = attempt.server;
+  message.headers.insert(message.headers.begin(),
+                         {{std::string(server_header), server.id},
+                          {std::string(start_time_header), std::to_string(server.start_time_ms)},
+                          {std::string(time_left_header), std::to_string(attempt.time_left.ms)},
+                          {std::string(request_id_header), std::string(attempt.request_id)},
+                          {std::string(sender_header), shared_.settings.vm}});
+  // The other VM checks whose response it is.
+  limits.is_expected = nullptr;
+  net::net_failure failure{net::net_failure_kind::connect, false};
+  std::vector<endpoint> tried;
+  std::size_t unreachable = 0;
+  while (tried.size() < max_asked_per_attempt && unreachable < max_unreachable_per_attempt) {
+    const time_point now = shared_.time.now();
+    const auto vm = shared_.forwarders.next(server.service, shared_.peers.live_addresses(now),
+                                            tried, shared_.random, now);
+    if (!vm) {
+      break;
+    }
+    tried.push_back(*vm);
+    log_event(level::info, "forward_sent",
+              {{"request_id", attempt.request_id}, {"server", server.id}, {"via", vm->address}});
+    auto opened = co_await shared_.http->open(*vm, message, limits);
+    if (!opened) {
+      failure = opened.last_reason();
+      if (failure.request_may_have_been_sent || failure.kind == net::net_failure_kind::cancelled) {
+        co_return failed{failure};
+      }
+    } else {
+      const std::string_view outcome = (*opened)->head().header(outcome_header).value_or(not_sent);
+      if (outcome == server_responded) {
+        co_return std::unique_ptr<net::response_stream>(
+            std::make_unique<forwarded_response>(std::move(*opened)));
+      }
+      if (outcome == may_be_sent) {
+        co_return failed{net::net_failure{net::net_failure_kind::closed, true}};
+      }
+      failure = {net::net_failure_kind::connect, false};
+      if (outcome == server_unreachable) {
+        ++unreachable;
+        continue;
+      }
+    }
+    ++refusals;
+    shared_.forwarders.record_refusal(server.service, *vm, shared_.time.now());
+  }
+  co_return failed{failure};
+}
+
+// An attempt that another VM asks this one to send.
+struct forward_link::incoming {
+  explicit incoming(const net::http_request& request)
+      : server_id(request.header(server_header).value_or("")),
+        request_id(request.header(request_id_header).value_or("")),
+        sender(request.header(sender_header).value_or("")),
+        start_time_ms(number_in(request, start_time_header)),
+        time_left{number_in(request, time_left_header)} {}
+  std::string server_id;
+  std::string request_id;
+  std::string sender;
+  std::int64_t start_time_ms;
+  duration time_left;
+};
+
+bool forward_link::is_forwarded(const net::http_request& request) {
+  return request.header(server_header).has_value();
+}
+
+const servers::server_entry* forward_link::find_server(const incoming& attempt) const {
+  const servers::server_entry* listed = shared_.servers.find(attempt.server_id);
+  const bool meant = listed != nullptr && listed->start_time_ms == attempt.start_time_ms;
+  return meant && !listed->leaving ? listed : nullptr;
+}
+
+// \returns the outcome if nothing will be sent to the server; empty otherwise.
+std::string_view forward_link::refusal_of(const servers::server_entry* listed) const {
+  if (shared_.stopping || (listed != nullptr && shared_.paths.is_cut_off(listed->service))) {
+    return not_sent;
+  }
+  const bool reachable = listed != nullptr && paths_.is_usable(*listed);
+  return reachable ? std::string_view() : server_unreachable;
+}
+
+asio::awaitable<void> forward_link::handle(net::http_request request,
+                                           net::response_writer& writer) {
+  const incoming attempt(request);
+  const servers::server_entry* listed = find_server(attempt);
+  if (const std::string_view outcome = refusal_of(listed); !outcome.empty()) {
+    co_await refuse(attempt, outcome, writer);
+    co_return;
+  }
+  const servers::server_entry server = *listed;
+  for (const std::string_view name :
+       {server_header, start_time_header, time_left_header, request_id_header, sender_header}) {
+    erase_first(request.headers, name);
+  }
+  request.headers = net::end_to_end_headers(request.headers);
+  const auto cancellation = std::make_shared<net::cancellation_token>();
+  open_attempts_.emplace(cancellation.get(), cancellation);
+  writer.on_peer_disconnect([cancellation] { cancellation->cancel(); });
+  net::exchange_limits limits;
+  limits.connect_timeout = std::min(connect_timeout, attempt.time_left);
+  limits.tcp_user_timeout = tcp_user_timeout;
+  limits.head_timeout = attempt.time_left;
+  limits.read_timeout = attempt.time_left;
+  limits.body_bytes = std::numeric_limits<std::uint64_t>::max();
+  limits.cancellation = cancellation;
+  limits.request_tag = attempt.request_id;
+  limits.may_send = [this, &attempt] { return find_server(attempt) != nullptr; };
+  limits.is_expected = [this, &attempt](const net::http_response& head) {
+    return shared_.wire.decode_answer(head).id == attempt.request_id;
+  };
+  auto opened = co_await shared_.http->open(server.address, std::move(request), limits);
+  if (opened) {
+    paths_.record_success(server);
+    log_event(level::info, "forward_served",
+              {{"request_id", attempt.request_id},
+               {"server", server.id},
+               {"sender", attempt.sender},
+               {"status", (*opened)->head().status}});
+    co_await deliver(**opened, writer);
+  } else {
+    if (path_monitor::is_path_failure(opened.last_reason())) {
+      paths_.record_failure(server);
+    }
+    co_await fail(attempt, opened.last_reason(), writer);
+  }
+  open_attempts_.erase(cancellation.get());
+}
+
+asio::awaitable<void> forward_link::deliver(net::response_stream& answer,
+                                            net::response_writer& writer) {
+  net::header_list headers = net::end_to_end_headers(answer.head().headers);
+  headers.insert(headers.begin(), {std::string(outcome_header), std::string(server_responded)});
+  const auto started = co_await writer.start(answer.head().status, std::move(headers));
+  bool delivered = started.has_value();
+  while (delivered) {
+    auto piece = co_await answer.read();
+    if (!piece) {
+      writer.abort();
+      co_return;
+    }
+    if (piece->empty()) {
+      std::ignore = co_await writer.finish();
+      co_return;
+    }
+    const auto written = co_await writer.write(*piece);
+    delivered = written.has_value();
+  }
+  answer.cancel();
+}
+
+asio::awaitable<void> forward_link::refuse(const incoming& attempt, std::string_view outcome,
+                                           net::response_writer& writer) {
+  log_event(level::info, "forward_refused",
+            {{"request_id", attempt.request_id},
+             {"server", attempt.server_id},
+             {"sender", attempt.sender},
+             {"why", outcome}});
+  net::http_response response;
+  response.status = status_bad_gateway;
+  response.headers.emplace_back(std::string(outcome_header), std::string(outcome));
+  std::ignore = co_await writer.send(std::move(response));
+}
+
+asio::awaitable<void> forward_link::fail(const incoming& attempt, const net::net_failure& failure,
+                                         net::response_writer& writer) {
+  log_event(level::info, "forward_failed",
+            {{"request_id", attempt.request_id},
+             {"server", attempt.server_id},
+             {"sender", attempt.sender},
+             {"why", net::to_string(failure.kind)},
+             {"sent", failure.request_may_have_been_sent}});
+  net::http_response response;
+  response.status = status_bad_gateway;
+  response.headers.emplace_back(
+      std::string(outcome_header),
+      std::string(failure.request_may_have_been_sent ? may_be_sent : server_unreachable));
+  std::ignore = co_await writer.send(std::move(response));
+}
+
+void forward_link::cancel_attempts() {
+  for (const auto& [key, cancellation] : std::map(open_attempts_)) {
+    cancellation->cancel();
+  }
+}
+
+}  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,12 +11,14 @@
 #include <utility>
 
 #include "crash_guard.h"
+#include "forward_link.h"
 #include "gateway_state.h"
 #include "hawthornnotch/base/hash.h"
 #include "hawthornnotch/net/http_server.h"
 #include "hawthornnotch/observe/log.h"
 #include "limit_events.h"
 #include "origin_link.h"
+#include "path_monitor.h"
 #include "peer_link.h"
 #include "proxied_request.h"
 #include "store_registration.h"
@@ -82,6 +84,8 @@
         crashes_(shared_, context_.get_executor(), [this] { link_.spread_news(); }),
         link_(shared_, updater_, crashes_, context_.get_executor()),
         origins_(shared_, context_.get_executor()),
+        paths_(shared_, context_.get_executor()),
+        forwards_(shared_, paths_),
         stop_timer_(context_) {
     shared_.http = std::move(http);
     shared_.dispatcher.limits().start(shared_.settings.vm, shared_.time.now());
@@ -113,14 +117,13 @@
       return answer_readiness(std::move(request), writer);
     };
     auto peers = [this](net::http_request request, net::response_writer& writer) {
-      return origin_link::is_for_origins(request)
-                 ? origins_.handle(std::move(request), writer)
-                 : link_.handle_exchange(std::move(request), writer);
+      return serve_peer(std::move(request), writer);
     };
     auto metrics = [this](net::http_request request, net::response_writer& writer) {
       return answer_metrics(std::move(request), writer);
     };
     net::server_limits peer_limits;
+    peer_limits.header_bytes = max_peer_header_bytes;
     peer_limits.body_bytes = max_peer_body_bytes;
     const auto readiness_status = listen_at(settings.readiness, {}, readiness, readiness_);
     const auto peer_status = listen_at(settings.peers, peer_limits, peers, peers_);
@@ -170,6 +173,7 @@
   [[nodiscard]] std::uint16_t metrics_port() const override { return metrics_->port(); }
 
  private:
+  static constexpr std::uint32_t max_peer_header_bytes = 256 * 1024;
   static constexpr std::uint64_t max_peer_body_bytes = 16 * 1024 * 1024;
 
   [[nodiscard]] net::server_limits caller_limits() const {
@@ -190,10 +194,20 @@
 
   asio::awaitable<void> serve_caller(net::http_request request, net::response_writer& writer) {
     proxied_request::stream_resumption resumption{origins_, *stream_records_};
-    proxied_request run(shared_, updater_, crashes_, resumption, writer, context_.get_executor());
+    const proxied_request::server_access access{paths_, forwards_};
+    proxied_request run(shared_, updater_, crashes_, resumption, access, writer,
+                        context_.get_executor());
     co_await run.run(std::move(request));
   }
 
+  asio::awaitable<void> serve_peer(net::http_request request, net::response_writer& writer) {
+    if (forward_link::is_forwarded(request)) {
+      return forwards_.handle(std::move(request), writer);
+    }
+    return origin_link::is_for_origins(request) ? origins_.handle(std::move(request), writer)
+                                                : link_.handle_exchange(std::move(request), writer);
+  }
+
   [[nodiscard]] bool ready() const { return !shared_.stopping && shared_.can_route(); }
 
   asio::awaitable<void> answer_readiness(net::http_request request, net::response_writer& writer) {
@@ -223,6 +237,7 @@
                 static_cast<double>(shared_.peers.live_count(now)));
     update_limit_gauges(shared_, now);
     crashes_.update_gauges();
+    paths_.update_gauges();
     shown.gauge("hawthornnotch_open_requests", {}, static_cast<double>(callers_->open_requests()));
     shown.gauge("hawthornnotch_open_connections", {},
                 static_cast<double>(callers_->open_connections()));
@@ -287,13 +302,14 @@
     const duration passed = shared_.time.now() - drain_started_at_;
     const bool noticed = passed >= balancer_detection_time;
     const bool grace_over = passed >= shared_.settings.stop_grace - stop_reserve;
-    const std::size_t open = callers_->open_requests();
+    const std::size_t open = callers_->open_requests() + forwards_.open_attempts();
     if (noticed) {
       shared_.balancer_detected_stop = true;
       callers_->close_idle();
     }
     if (open > 0 && shared_.time.now() >= *shared_.ends_at) {
       end_open_requests();
+      forwards_.cancel_attempts();
     }
     if ((noticed && open == 0) || grace_over) {
       all_requests_finished_ = open == 0;
@@ -315,6 +331,8 @@
   crash_guard crashes_;
   peer_link link_;
   origin_link origins_;
+  path_monitor paths_;
+  forward_link forwards_;
   std::unique_ptr<platform::long_poll_store> store_;
   std::optional<config_watcher> config_;
   std::optional<server_list_poller> list_;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -16,6 +16,8 @@
 #include "hawthornnotch/gateway/settings.h"
 #include "hawthornnotch/net/http_client.h"
 #include "hawthornnotch/observe/metrics.h"
+#include "hawthornnotch/paths/forwarder_choice.h"
+#include "hawthornnotch/paths/server_paths.h"
 #include "hawthornnotch/quarantine/suspect_table.h"
 #include "hawthornnotch/relay/confirmation.h"
 #include "hawthornnotch/relay/peer_set.h"
@@ -65,6 +67,8 @@
   dispatch::dispatcher dispatcher;
   dispatch::retry_budget retries;
   quarantine::suspect_table suspects;
+  paths::server_paths paths;
+  paths::forwarder_choice forwarders;
   std::unique_ptr<observe::metrics> metrics;
   std::unique_ptr<net::http_client> http;
   // Whether a configuration and a server list are known.
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -30,6 +30,8 @@
 constexpr std::int64_t target_latency_factor = 2;
 /// A request with less time remaining than this is not sent.
 constexpr duration min_send_time{20};
+/// Number of other VMs that may refuse to send a request's attempts before it is refused.
+constexpr std::size_t max_forward_refusals = 8;
 /// Size limit of a response that is not an event stream.
 constexpr std::uint64_t max_response_bytes = 64 * 1024 * 1024;
 /// How often a waiting request checks for the first configuration and server list.
@@ -39,12 +41,13 @@
 
 proxied_request::proxied_request(gateway_state& shared, state_updater& updater,
                                  crash_guard& crashes, stream_resumption& resumption,
-                                 net::response_writer& writer,
+                                 server_access access, net::response_writer& writer,
                                  const asio::any_io_executor& executor)
     : shared_(shared),
       updater_(updater),
       crashes_(crashes),
       resumption_(resumption),
+      access_(access),
       writer_(writer),
       timer_(executor),
       breaker_(std::make_shared<net::cancellation_token>()),
@@ -183,7 +186,8 @@
 void proxied_request::cancel_exchange() { breaker_->cancel(); }
 
 asio::awaitable<void> proxied_request::send_with_retries() {
-  while (!is_aborted() && has_time_to_send() && !is_quarantined() && !version_unavailable_) {
+  while (!is_aborted() && has_time_to_send() && !is_quarantined() && !version_unavailable_ &&
+         !nobody_sends()) {
     dispatch::placement_query query;
     query.service = service_;
     query.prefixes = prefixes_;
@@ -282,6 +286,16 @@
   tried_servers_.push_back(to.server.id);
   placement_ = to;
   log_attempt(to);
+  attempt_ = shared_.dispatcher.begin_attempt(to, prefixes_, shared_.time.now());
+  auto opened = co_await open_exchange(to);
+  if (!opened) {
+    co_return on_attempt_failed(opened.last_reason());
+  }
+  const attempt_outcome next = co_await deliver_response(**opened);
+  co_return next;
+}
+
+net::http_request proxied_request::message_for(const dispatch::placement& to) const {
   forward_options options;
   options.server_id = to.server.id;
   options.time_left = time_remaining();
@@ -289,18 +303,54 @@
   options.workspace = workspace_ != nullptr ? workspace_->name : "";
   options.fetch_from = to.fetch_from;
   options.resume_after = splitter_.last_id();
-  net::http_request message = shared_.wire.encode_request(request_, options);
-  attempt_ = shared_.dispatcher.begin_attempt(to, prefixes_, shared_.time.now());
-  net::exchange_limits limits = limits_for(to);
+  return shared_.wire.encode_request(request_, options);
+}
+
+// Nothing was sent over a connection that could not be opened, so another VM may send the request.
+asio::awaitable<proxied_request::opened_exchange> proxied_request::open_exchange(
+    const dispatch::placement& to) {
+  const bool usable = access_.paths.is_usable(to.server);
+  const bool cut_off = shared_.paths.is_cut_off(service_);
+  if (usable || (!cut_off && !access_.forwards.has_forwarder(service_))) {
+    auto opened = co_await open_directly(to);
+    const bool unsent = !opened && opened.last_reason().kind == net::net_failure_kind::connect;
+    if (!unsent || is_aborted() || !has_time_to_send() ||
+        !access_.forwards.has_forwarder(service_)) {
+      co_return opened;
+    }
+  }
+  auto forwarded = co_await open_through_peer(to);
+  co_return forwarded;
+}
+
+asio::awaitable<proxied_request::opened_exchange> proxied_request::open_directly(
+    const dispatch::placement& to) {
+  sent_directly_ = true;
+  const net::exchange_limits limits = limits_for(to);
   event_timeout_ = limits.read_timeout;
-  auto opened = co_await shared_.http->open(to.server.address, std::move(message), limits);
-  if (!opened) {
-    co_return on_attempt_failed(opened.last_reason());
+  auto opened = co_await shared_.http->open(to.server.address, message_for(to), limits);
+  if (opened) {
+    access_.paths.record_success(to.server);
+  } else if (path_monitor::is_path_failure(opened.last_reason())) {
+    access_.paths.record_failure(to.server);
   }
-  const attempt_outcome next = co_await deliver_response(**opened);
-  co_return next;
+  co_return opened;
 }
 
+asio::awaitable<proxied_request::opened_exchange> proxied_request::open_through_peer(
+    const dispatch::placement& to) {
+  sent_directly_ = false;
+  const net::exchange_limits limits = limits_for(to);
+  event_timeout_ = limits.read_timeout;
+  const forwarded_attempt attempt{request_.id, to.server, time_remaining()};
+  auto opened = co_await access_.forwards.open(attempt, message_for(to), limits, forward_refusals_);
+  shared_.metrics->count("hawthornnotch_forwards_total",
+                         {{"outcome", opened ? "sent" : "failed"}, {"service", service_}});
+  co_return opened;
+}
+
+bool proxied_request::nobody_sends() const { return forward_refusals_ >= max_forward_refusals; }
+
 proxied_request::attempt_outcome proxied_request::on_attempt_failed(
     const net::net_failure& failure) {
   const bool unsent = !failure.request_may_have_been_sent;
@@ -316,6 +366,9 @@
               {{"request_id", request_.id}, {"server", tried_servers_.back()}});
     return attempt_outcome::may_retry;
   }
+  if (sent_directly_ && path_monitor::is_path_failure(failure)) {
+    access_.paths.record_failure(placement_.server);
+  }
   const bool unanswered = attempt_ && !attempt_->first_event_seen;
   if (!unsent && unanswered && failure.kind == net::net_failure_kind::closed) {
     crashes_.on_closed_unanswered(placement_.server, request_.id, carried_);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -11,11 +11,13 @@
 
 #include "crash_guard.h"
 #include "event_splitter.h"
+#include "forward_link.h"
 #include "gateway_error.h"
 #include "gateway_state.h"
 #include "hawthornnotch/net/http_server.h"
 #include "hawthornnotch/quarantine/fingerprint.h"
 #include "origin_link.h"
+#include "path_monitor.h"
 #include "store_sync.h"
 #include "stream_records.h"
 
@@ -38,8 +40,14 @@
     stream_records& records;
   };
 
+  // How servers are reached.
+  struct server_access {
+    path_monitor& paths;
+    forward_link& forwards;
+  };
+
   proxied_request(gateway_state& shared, state_updater& updater, crash_guard& crashes,
-                  stream_resumption& resumption, net::response_writer& writer,
+                  stream_resumption& resumption, server_access access, net::response_writer& writer,
                   const boost::asio::any_io_executor& executor);
   ~proxied_request();
   proxied_request(const proxied_request&) = delete;
@@ -92,6 +100,14 @@
 
   boost::asio::awaitable<void> send_with_retries();
   boost::asio::awaitable<attempt_outcome> send_attempt(const dispatch::placement& to);
+  using opened_exchange = result<std::unique_ptr<net::response_stream>, net::net_failure>;
+  // Sends the request to the server, or through another VM if this one does not reach the server.
+  boost::asio::awaitable<opened_exchange> open_exchange(const dispatch::placement& to);
+  boost::asio::awaitable<opened_exchange> open_directly(const dispatch::placement& to);
+  boost::asio::awaitable<opened_exchange> open_through_peer(const dispatch::placement& to);
+  [[nodiscard]] net::http_request message_for(const dispatch::placement& to) const;
+  // \returns whether no other VM was found that sends to the service.
+  [[nodiscard]] bool nobody_sends() const;
   boost::asio::awaitable<attempt_outcome> deliver_response(net::response_stream& answer);
   // Reads a complete response before sending it, so that a failure can still be retried.
   boost::asio::awaitable<attempt_outcome> deliver_buffered(net::response_stream& answer);
@@ -133,6 +149,7 @@
   state_updater& updater_;
   crash_guard& crashes_;
   stream_resumption& resumption_;
+  server_access access_;
   net::response_writer& writer_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<net::cancellation_token> breaker_;
@@ -158,6 +175,10 @@
   event_splitter splitter_;
   // Number of servers that may have executed the request.
   std::uint32_t possible_executions_ = 0;
+  // The current attempt was sent by this VM itself.
+  bool sent_directly_ = true;
+  // Number of other VMs that refused to send an attempt.
+  std::size_t forward_refusals_ = 0;
   // Number of servers that rejected the request without executing it.
   std::uint32_t refusals_ = 0;
   // No server was available, since all asked for a pause or are at their limit.
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -195,6 +195,16 @@
   return local;
 }
 
+std::vector<endpoint> peer_set::live_addresses(time_point now) const {
+  std::vector<endpoint> addresses;
+  for (const auto& [vm, known] : peers_) {
+    if (alive(known, now)) {
+      addresses.push_back(known.about.address);
+    }
+  }
+  return addresses;
+}
+
 std::size_t peer_set::live_count(time_point now) const {
   const auto live = std::count_if(peers_.begin(), peers_.end(),
                                   [&](const auto& each) { return alive(each.second, now); });
--- a/tests/gateway/cut_off_from_servers_test.cpp
+++ b/tests/gateway/cut_off_from_servers_test.cpp
@@ -1,5 +1,7 @@
 // Guards against callers who are not served since their entry VM reaches no backend server.
+#include <array>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -20,6 +22,7 @@
 // `StabilityMs`: first tries count from this time after the cut on.
 constexpr milliseconds settle_time{3'000};
 constexpr int counted_requests = 60;
+constexpr int kinds = 3;
 constexpr std::size_t stations_servers = 4;
 constexpr std::size_t forecast_servers = 6;
 
@@ -57,18 +60,23 @@
     cut("forecast", kind);
   }
 
-  // Sends requests of each kind for as long as they don't count.
+  // Sends requests of each kind, side by side, for as long as they don't count.
   void settle(milliseconds time = settle_time) {
     const auto end = steady_clock::now() + time;
-    for (int number = 0; steady_clock::now() < end; ++number) {
-      std::ignore = send("settle" + std::to_string(number), number);
+    std::vector<std::future<void>> callers;
+    for (int kind = 0; kind < kinds; ++kind) {
+      callers.push_back(std::async(std::launch::async, [this, kind, end] {
+        for (int number = kind; steady_clock::now() < end; number += kinds) {
+          std::ignore = send("settle" + std::to_string(number), number);
+        }
+      }));
     }
   }
 
   // \returns the status of one first try at the cut-off VM.
   unsigned send(const std::string& id, int number) {
-    const char* const paths[] = {"/read/1", "/order/1", "/draft/1"};
-    const auto answer = cut_off.call(make_request("POST", paths[number % 3], id));
+    const std::array<const char*, kinds> paths = {"/read/1", "/order/1", "/draft/1"};
+    const auto answer = cut_off.call(make_request("POST", paths.at(number % kinds), id));
     return answer ? answer->status : 0;
   }
 
