Deal the room of brittle servers to the entry VMs

Brittle servers had to reject more than they bear and fell over. Cause: nothing bounds what all entry VMs together have under way at a server; each goes by its own view, and views are seconds old. While a service names itself brittle each VM now sends only within its share of each server's room, by a rendezvous hash that all VMs compute alike; where no place is left the request is refused at once, not run.

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -14,6 +14,7 @@
 #include "hawthornnotch/base/clock.h"
 #include "hawthornnotch/base/random.h"
 #include "hawthornnotch/base/result.h"
+#include "hawthornnotch/dispatch/brittle_quota.h"
 #include "hawthornnotch/dispatch/prompt.h"
 #include "hawthornnotch/dispatch/server_limits.h"
 #include "hawthornnotch/dispatch/server_state.h"
@@ -69,7 +70,8 @@
   std::uint32_t running = 0;
   /// Number of servers compared.
   std::uint32_t candidates = 0;
-  /// Number of servers passed over, because they name a limit and this VM has no permit now.
+  /// Number of servers passed over, because they name a limit and this VM has no permit now, or are
+  /// brittle and have no place for it.
   std::uint32_t at_limit = 0;
 };
 
@@ -78,7 +80,8 @@
   no_server,
   /// Every server that could take the request was already tried.
   all_tried,
-  /// Every available server has asked for a pause or names a limit that is used up.
+  /// Every available server has asked for a pause, names a limit that is used up, or is brittle and
+  /// has no place.
   all_paused,
   /// No available server has the software version that the query names.
   no_server_of_version,
@@ -191,6 +194,14 @@
   /// \returns the requests of this process running on each server, for gossip.
   [[nodiscard]] std::vector<relay::server_work> local_work() const;
   [[nodiscard]] std::vector<server_summary> summary(time_point now) const;
+  /// Records what an answer says of its server's load and of the rejections a second that it bears.
+  /// \param bearable_rejections none if the server is not brittle.
+  /// \returns whether its service was not known as brittle.
+  bool record_room(const attempt& tracked, std::string_view service,
+                   std::optional<std::uint32_t> bearable_rejections,
+                   const std::optional<reported_load>& load, time_point now);
+  /// Records that a server rejected the attempt for want of room; call before `end_attempt`.
+  void record_rejection(const attempt& tracked, std::string_view service, time_point now);
   /// \returns the limits that servers name for all entry VMs together.
   [[nodiscard]] server_limits& limits() { return limits_; }
 
@@ -204,6 +215,8 @@
   /// \returns whether the server is chosen only if no other can take the request.
   [[nodiscard]] bool avoided(const servers::server_entry& server, const server_state& state,
                              time_point now) const;
+  /// \returns what this VM has under way and may send at the servers of a brittle service.
+  [[nodiscard]] service_size size_of(std::span<const servers::server_entry* const> serving);
   /// \returns the servers of the query's service that accept requests now, not ranked yet.
   /// \param at_limit is increased by the number of servers whose limit is used up.
   std::vector<internal::candidate> candidates_for(const placement_query& query,
@@ -232,6 +245,7 @@
   random_source random_;
   std::map<std::string, server_state, std::less<>> states_;
   server_limits limits_;
+  brittle_quota brittle_;
   /// By failure domain.
   std::map<std::string, domain_reachability, std::less<>> domains_;
   /// The last server that `local_paces` visited.
--- a/include/hawthornnotch/gateway/protocol.h
+++ b/include/hawthornnotch/gateway/protocol.h
@@ -69,6 +69,8 @@
   std::optional<duration> pause;
   /// What the answer says of the rate of requests that the server takes from all VMs together.
   servers::limit_notice limit;
+  /// Rejections a second that the server bears before it falls over; none if it is not brittle.
+  std::optional<std::uint32_t> bearable_rejections_per_s;
   /// True if an intermediary changed the body, e.g. its encoding.
   bool body_transformed = false;
   /// Load that the server reports, if it does.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -144,15 +144,31 @@
   return slowness / prefill_tokens_per_ms_;
 }
 
+service_size dispatcher::size_of(std::span<const servers::server_entry* const> serving) {
+  brittle_.set_members(limits_.members());
+  service_size size;
+  for (const servers::server_entry* server : serving) {
+    size.own_in_flight += state_of(*server).running;
+    size.own_places += brittle_.share_of(server->slots, {server->id, server->start_time_ms});
+  }
+  return size;
+}
+
 std::vector<internal::candidate> dispatcher::candidates_for(const placement_query& query,
                                                             std::uint32_t& at_limit) {
   std::vector<internal::candidate> out;
-  for (const servers::server_entry* server : list_.serving(query.service)) {
+  const auto& serving = list_.serving(query.service);
+  const bool brittle = brittle_.is_brittle(query.service, query.now);
+  const service_size size = brittle ? size_of(serving) : service_size{};
+  for (const servers::server_entry* server : serving) {
     const server_state& state = state_of(*server);
     if (state.pause.is_active(query.now)) {
       continue;
     }
-    if (!limits_.has_permit({server->id, server->start_time_ms}, query.now)) {
+    const server_incarnation incarnation{server->id, server->start_time_ms};
+    const place_query place{incarnation, server->slots, {state.running, state.all_running()}};
+    const bool has_place = !brittle || brittle_.has_place(place, size, query.now);
+    if (!has_place || !limits_.has_permit(incarnation, query.now)) {
       ++at_limit;
       continue;
     }
--- a/src/dispatch/dispatcher_outcomes.cpp
+++ b/src/dispatch/dispatcher_outcomes.cpp
@@ -107,6 +107,30 @@
   }
 }
 
+bool dispatcher::record_room(const attempt& tracked, std::string_view service,
+                             std::optional<std::uint32_t> bearable_rejections,
+                             const std::optional<reported_load>& load, time_point now) {
+  const bool is_new =
+      bearable_rejections && brittle_.record_notice(service, *bearable_rejections, now);
+  if (load && brittle_.is_brittle(service, now)) {
+    const server_state* state = state_of(tracked);
+    const std::uint32_t own = state == nullptr ? 0 : state->running;
+    brittle_.record_load({tracked.server, tracked.start_time_ms}, *load, own, now);
+  }
+  return is_new;
+}
+
+void dispatcher::record_rejection(const attempt& tracked, std::string_view service,
+                                  time_point now) {
+  const server_state* state = state_of(tracked);
+  if (state == nullptr || !brittle_.is_brittle(service, now)) {
+    return;
+  }
+  // The rejected request itself was not held.
+  const std::uint32_t others = state->all_running() - std::min(state->all_running(), 1U);
+  brittle_.record_rejection({tracked.server, tracked.start_time_ms}, {state->running, others}, now);
+}
+
 void dispatcher::pause(const attempt& tracked, duration time, time_point now) {
   server_state* state = state_of(tracked);
   if (state != nullptr) {
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -71,6 +71,14 @@
   if (limit_change) {
     log_limit_change(*limit_change, placement_.server.id, request_.id);
   }
+  if (shared_.dispatcher.record_room(*attempt_, service_, details.bearable_rejections_per_s,
+                                     details.load, shared_.time.now())) {
+    log_event(level::info, "service_brittle",
+              {{"request_id", request_.id},
+               {"service", service_},
+               {"server", placement_.server.id},
+               {"rejections_per_s", *details.bearable_rejections_per_s}});
+  }
   if (details.leaving) {
     updater_.apply_departure(
         {placement_.server.id, placement_.server.start_time_ms, departure_gossip_time},
@@ -94,6 +102,9 @@
   } else if (details.pause) {
     end = dispatch::attempt_end::pause_requested;
   }
+  if (!details.wrong_server) {
+    shared_.dispatcher.record_rejection(*attempt_, service_, shared_.time.now());
+  }
   finish_attempt(end);
   log_event(level::info, "server_refused",
             {{"request_id", request_.id}, {"server", tried_servers_.back()}, {"status", status}});
