--- a/tests/gateway/joined_versions_test.cpp
+++ b/tests/gateway/joined_versions_test.cpp
@@ -167,6 +167,19 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resumptions_at(server));
 }
 
+// The stream may have begun at the other version, through a VM that knew of it sooner.
+TEST_THAT(resumed_stream, is_refused_by_a_vm_whose_list_lacks_a_version_that_has_just_started) {
+  gateway_fixture fixture;
+  fake_server& old_server = add_versioned(fixture, "old", "v1", stream_four);
+  fixture.start();
+  std::this_thread::sleep_for(list_reading_time);
+  add_versioned(fixture, "new", "v2", stream_four);
+  const auto answer = fixture.call(make_resumption("b", "a"));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(old_server));
+}
+
 TEST_THAT(resumed_stream, is_refused_at_once_if_no_server_of_its_version_is_left) {
   gateway_fixture fixture;
   fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
