Read the server list after a take-up came before one version passes for the only one

A VM that had been out of step took its list, up to twice its intended age old, for the present although no keeper answered; it also did so where it knew nobody to ask. A stream that began elsewhere at a version that had just started went on at the old one. Now a take-up without a record goes on only if the list was read after it came; take-ups that wait share one reading, and the store's records are read where that shows a second version. Where the store can't be read it is enough that there are keepers and all answered: a take-up is refused no more often in an outage of the store alone than before, unless nobody was there to ask.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -193,7 +193,7 @@
   }
 
   asio::awaitable<void> serve_caller(net::http_request request, net::response_writer& writer) {
-    proxied_request::stream_resumption resumption{origins_, *stream_records_};
+    proxied_request::stream_resumption resumption{origins_, *stream_records_, *list_};
     const proxied_request::server_access access{paths_, forwards_};
     proxied_request run(shared_, updater_, crashes_, resumption, access, writer,
                         context_.get_executor());
--- a/src/gateway/origin_link.cpp
+++ b/src/gateway/origin_link.cpp
@@ -108,7 +108,7 @@
 asio::awaitable<origin_link::search_result> origin_link::find(streams::stream_key key) {
   auto known = shared_.origins.find(key, shared_.time.now());
   if (known || key.attempt.empty()) {
-    co_return search_result{std::move(known), true};
+    co_return search_result{std::move(known), false};
   }
   const auto question = std::make_shared<inquiry>(key, executor_);
   question->answered.expires_at(std::chrono::steady_clock::time_point::max());
@@ -116,13 +116,14 @@
     ++question->open;
     asio::co_spawn(executor_, ask(keeper, question), asio::detached);
   }
-  if (question->open > 0) {
+  const bool asked = question->open > 0;
+  if (asked) {
     co_await question->answered.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   if (question->found) {
     shared_.origins.record(*question->found, streams::origin_source::peer, shared_.time.now());
   }
-  co_return search_result{question->found, question->all_answered};
+  co_return search_result{question->found, asked && question->all_answered};
 }
 
 asio::awaitable<void> origin_link::ask(endpoint to, std::shared_ptr<inquiry> about) {
--- a/src/gateway/origin_link.h
+++ b/src/gateway/origin_link.h
@@ -34,9 +34,9 @@
   void on_versions_mixed(std::span<const std::string> services);
   struct search_result {
     std::optional<streams::stream_origin> found;
-    // Whether every keeper was reached: then no VM that is in touch with them began the stream at a
-    // version that this one does not know.
-    bool all_answered = true;
+    // Whether there are keepers and every one was reached: then no VM that is in touch with them
+    // began the stream at a version that this one does not know.
+    bool peers_answered = false;
   };
   // Asks the stream's keepers if this VM does not know its origin, for a short time.
   boost::asio::awaitable<search_result> find(streams::stream_key key);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -38,6 +38,7 @@
   struct stream_resumption {
     origin_link& origins;
     stream_records& records;
+    server_list_poller& list;
   };
 
   // How servers are reached.
@@ -78,10 +79,9 @@
   boost::asio::awaitable<std::optional<streams::stream_origin>> find_recorded_origin();
   // \returns the one version at which the service's streams can have begun; none if there may be
   // several.
-  // \param peers_answered whether the VMs that would know of another version were reached.
-  [[nodiscard]] std::optional<std::string> only_version(bool peers_answered) const;
-  // \returns whether the server list was read so lately that it shows every version in service.
-  [[nodiscard]] bool is_list_recent() const;
+  // \param complete whether the server list shows every version in service, or the VMs that would
+  // know of another one were reached.
+  [[nodiscard]] std::optional<std::string> only_version(bool complete) const;
   void log_resumption(std::string_view known_by, duration age) const;
   // Called before the first event of the response is forwarded.
   void on_stream_begun();
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -13,13 +13,6 @@
 using observe::level;
 using observe::log_event;
 
-namespace {
-
-/// A list older than this multiple of its intended age may lack a version in service.
-constexpr std::int64_t list_age_factor = 2;
-
-}  // namespace
-
 bool proxied_request::resumes_stream() const {
   return is_resumable() && request_.last_event_id.value_or(0) > 0;
 }
@@ -28,15 +21,9 @@
   return {workspace_ != nullptr ? workspace_->name : "", service_, std::move(attempt)};
 }
 
-bool proxied_request::is_list_recent() const {
-  const auto age = shared_.servers.age(shared_.time.now());
-  return age && *age <= shared_.settings.leave_notice * list_age_factor;
-}
-
-std::optional<std::string> proxied_request::only_version(bool peers_answered) const {
+std::optional<std::string> proxied_request::only_version(bool complete) const {
   const std::set<std::string> recent = shared_.versions.recent(service_, shared_.time.now());
-  const bool complete = resumption_.records.history_known() && (peers_answered || is_list_recent());
-  const bool known = complete && recent.size() == 1;
+  const bool known = complete && resumption_.records.history_known() && recent.size() == 1;
   return known ? std::optional(*recent.begin()) : std::nullopt;
 }
 
@@ -49,7 +36,13 @@
 asio::awaitable<bool> proxied_request::find_version() {
   auto search = co_await resumption_.origins.find(stream_key_of(request_.resumed_attempt));
   std::optional<streams::stream_origin> origin = std::move(search.found);
-  if (!origin && !only_version(search.all_answered)) {
+  bool complete = false;
+  if (!origin) {
+    // A list read since the take-up came shows the version at which the stream began.
+    const bool list_is_present = co_await resumption_.list.refresh(arrived_at_);
+    complete = list_is_present || search.peers_answered;
+  }
+  if (!origin && !only_version(complete)) {
     origin = co_await find_recorded_origin();
   }
   if (origin) {
@@ -57,7 +50,7 @@
     log_resumption("record", origin->age);
     co_return true;
   }
-  required_version_ = only_version(search.all_answered);
+  required_version_ = only_version(complete);
   if (required_version_) {
     log_resumption("only_version", duration{-1});
     co_return true;
@@ -69,7 +62,7 @@
              {"service", service_},
              {"recent_versions", recent.size()},
              {"history_known", resumption_.records.history_known()},
-             {"peers_answered", search.all_answered},
+             {"peers_answered", search.peers_answered},
              {"list_age_ms", shared_.servers.age(shared_.time.now()).value_or(duration{-1}).ms}});
   co_return false;
 }
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -1,6 +1,10 @@
 #include "store_sync.h"
 
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -16,6 +20,9 @@
 
 /// How often to check whether a call to the store is due.
 constexpr duration tick_period{100};
+/// How long a request waits for a reading of the server list.
+constexpr duration max_refresh_wait{500};
+constexpr std::chrono::milliseconds refresh_poll_period{5};
 
 std::string joined(const std::vector<std::string>& names) {
   std::string out;
@@ -293,7 +300,8 @@
       ticker_(executor, tick_period, [this] { poll_if_due(); }),
       schedule_(
           reading_settings_of(relay::reading_kind::polled, shared.settings.leave_notice, shared),
-          shared.time.now()) {}
+          shared.time.now()),
+      executor_(executor) {}
 
 std::uint64_t server_list_poller::newest_id() const {
   const auto& newest = shared_.servers.newest();
@@ -309,8 +317,33 @@
   }
 }
 
+bool server_list_poller::is_read_since(time_point since) const {
+  const auto& newest = shared_.servers.newest();
+  return newest && newest->read_at >= since;
+}
+
+// A call that was made earlier may not show what has changed since, so it is waited for first.
+asio::awaitable<bool> server_list_poller::refresh(time_point since) {
+  const time_point end = shared_.time.now() + max_refresh_wait;
+  asio::steady_timer timer(executor_);
+  bool called = false;
+  while (!is_read_since(since) && shared_.time.now() < end) {
+    if (!reading_since_) {
+      if (called) {
+        break;
+      }
+      called = true;
+      read();
+    }
+    timer.expires_after(refresh_poll_period);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return is_read_since(since);
+}
+
 void server_list_poller::read() {
   const time_point called_at = shared_.time.now();
+  reading_since_ = called_at;
   const std::uint64_t restores_at_call = shared_.era.restores();
   store_.read_prefix(std::string(shared_.wire.server_prefix()),
                      [this, called_at, restores_at_call](const auto& answer) {
@@ -321,6 +354,9 @@
 void server_list_poller::apply_reading(
     const result<platform::read_outcome, platform::platform_failure>& answer, time_point called_at,
     std::uint64_t restores_at_call) {
+  if (reading_since_ == called_at) {
+    reading_since_.reset();
+  }
   if (answer) {
     store_list_.on_success();
   } else {
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -2,7 +2,10 @@
 #ifndef HAWTHORNNOTCH_SRC_GATEWAY_STORE_SYNC_H_
 #define HAWTHORNNOTCH_SRC_GATEWAY_STORE_SYNC_H_
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -136,10 +139,14 @@
                      platform::long_poll_store& store,
                      const boost::asio::any_io_executor& executor);
   void start() { ticker_.start(); }
+  // Waits for a list that was read no earlier than `since`, and reads it if none is on its way;
+  // requests that wait share a reading.  \returns whether there is one.
+  boost::asio::awaitable<bool> refresh(time_point since);
 
  private:
   void poll_if_due();
   void read();
+  [[nodiscard]] bool is_read_since(time_point since) const;
   // \param restores_at_call `store_era::restores` at the start of the call.
   void apply_reading(const result<platform::read_outcome, platform::platform_failure>& answer,
                      time_point called_at, std::uint64_t restores_at_call);
@@ -156,6 +163,9 @@
   ticker ticker_;
   relay::reading_schedule schedule_;
   dependency_monitor store_list_{"store_list"};
+  boost::asio::any_io_executor executor_;
+  // When the newest call that is open was made.
+  std::optional<time_point> reading_since_;
   static constexpr std::size_t max_logged_entries = 100;
   std::set<std::string, std::less<>> logged_entries_;
 };
