--- a/tests/gateway/cut_off_from_servers_test.cpp
+++ b/tests/gateway/cut_off_from_servers_test.cpp
@@ -131,6 +131,17 @@
   CPPUNIT_ASSERT_EQUAL(counted_requests, fleet.count_served("c"));
 }
 
+// Connections that close and then are refused look like a crash of each server.
+TEST_THAT(cut_off_vm, charges_no_request_with_crashes) {
+  for (const std::size_t cut_off_servers : {forecast_servers, forecast_servers / 2}) {
+    cut_off_fleet fleet;
+    fleet.cut("forecast", partition_kind::reset, cut_off_servers);
+    fleet.settle();
+    const std::string metrics = fleet.cut_off.metrics_text();
+    CPPUNIT_ASSERT(metrics.find("hawthornnotch_crashes_charged_total") == std::string::npos);
+  }
+}
+
 TEST_THAT(cut_off_vm, sends_to_servers_itself_soon_after_the_cut) {
   cut_off_fleet fleet;
   fleet.cut_all(partition_kind::silent);
--- a/tests/gateway/partitioned_client.cpp
+++ b/tests/gateway/partitioned_client.cpp
@@ -64,6 +64,8 @@
       co_return net::net_failure{net::net_failure_kind::unacknowledged, true};
     }
     co_await wait_for(limits.connect_timeout);
+  } else if (partition_->take_kept_connection(to)) {
+    co_return net::net_failure{net::net_failure_kind::closed, true};
   }
   co_return net::net_failure{net::net_failure_kind::connect, false};
 }
--- a/tests/gateway/partitioned_client.h
+++ b/tests/gateway/partitioned_client.h
@@ -17,7 +17,7 @@
 enum class partition_kind : std::uint8_t {
   // Connections hang; a request that went out on a kept one is never acknowledged.
   silent,
-  // New connections are refused, and kept ones were reset.
+  // New connections are refused, and kept ones are reset once a request is on its way.
   reset,
 };
 
