Charge a crash only if others find the server gone too

A VM whose connections were reset and then refused charged the requests that waited with crashes, and gossip would have quarantined them everywhere. Now a refused connection counts only if another server of the service is reached, and two other VMs are asked; one that reaches the server settles it.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -14,13 +14,6 @@
 using observe::log_event;
 using quarantine::suspect_kind;
 
-namespace {
-
-/// A server in a network partition does not refuse connections; it does not answer.
-constexpr duration check_timeout{300};
-
-}  // namespace
-
 time_point crash_guard::fleet_now() const {
   return shared_.dispatcher.limits().fleet_time(shared_.time.now());
 }
@@ -44,10 +37,9 @@
 }
 
 asio::awaitable<void> crash_guard::check_server(servers::server_entry server) {
-  const net::connect_check found =
-      co_await shared_.http->check_connect(server.address, check_timeout);
+  const bool crashed = co_await has_crashed(server);
   const auto checked = unchecked_.extract(server.id);
-  if (found != net::connect_check::refused) {
+  if (!crashed) {
     co_return;
   }
   for (const charge& each : checked.mapped()) {
@@ -56,6 +48,18 @@
   publish(shared_.settings.vm);
 }
 
+// A VM that is cut off sees servers refuse connections that others reach.
+asio::awaitable<bool> crash_guard::has_crashed(const servers::server_entry& server) {
+  const net::connect_check own = co_await paths_.check_crash(server);
+  if (own == net::connect_check::accepted) {
+    co_return false;
+  }
+  const net::connect_check others = co_await forwards_.check_crash(server);
+  const bool seen_here = own == net::connect_check::refused;
+  co_return others == net::connect_check::refused ||
+      (seen_here && others == net::connect_check::unknown);
+}
+
 void crash_guard::charge_crash(const servers::server_entry& server, const charge& charged) {
   shared_.metrics->count("hawthornnotch_crashes_charged_total", {{"service", server.service}});
   log_event(level::info, "crash_charged",
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -12,9 +12,11 @@
 #include <string_view>
 #include <vector>
 
+#include "forward_link.h"
 #include "gateway_state.h"
 #include "hawthornnotch/quarantine/suspicion.h"
 #include "hawthornnotch/servers/server_entry.h"
+#include "path_monitor.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -26,13 +28,17 @@
  public:
   // \param executor runs the checks of servers.
   // \param news called if peers should be told at once.
-  crash_guard(gateway_state& shared, boost::asio::any_io_executor executor,
-              std::function<void()> news)
-      : shared_(shared), executor_(std::move(executor)), news_(std::move(news)) {}
+  crash_guard(gateway_state& shared, path_monitor& paths, forward_link& forwards,
+              boost::asio::any_io_executor executor, std::function<void()> news)
+      : shared_(shared),
+        paths_(paths),
+        forwards_(forwards),
+        executor_(std::move(executor)),
+        news_(std::move(news)) {}
 
   // Records that the connection to a server closed before it began to answer a request.  The server
-  // has crashed if it refuses a new connection and is not leaving; otherwise only the answer was
-  // lost.
+  // has crashed if it refuses new connections, of this VM and of others, and is not leaving;
+  // otherwise only the answer was lost.
   void on_closed_unanswered(const servers::server_entry& server, std::string_view request_id,
                             std::span<const quarantine::fingerprint> carried);
   // Records that a server began to answer a request.
@@ -58,6 +64,7 @@
   };
   // Checks a server, and charges its crash to all requests that waited there.
   boost::asio::awaitable<void> check_server(servers::server_entry server);
+  boost::asio::awaitable<bool> has_crashed(const servers::server_entry& server);
   void charge_crash(const servers::server_entry& server, const charge& charged);
   [[nodiscard]] bool is_leaving(const servers::server_entry& server) const;
   [[nodiscard]] time_point fleet_now() const;
@@ -66,6 +73,8 @@
   void publish(std::string_view source);
 
   gateway_state& shared_;
+  path_monitor& paths_;
+  forward_link& forwards_;
   boost::asio::any_io_executor executor_;
   std::function<void()> news_;
   // By server id: what waits for the check that is under way.
--- a/src/gateway/forward_link.cpp
+++ b/src/gateway/forward_link.cpp
@@ -19,7 +19,8 @@
 
 namespace {
 
-/// Headers of a forwarded request.  They come before a caller's headers of the same name.
+/// Headers of a forwarded request.  They come before a caller's headers of the same name.  Without
+/// a request's id the other VM is only asked whether the server has crashed.
 constexpr std::string_view server_header = "Hawthornnotch-Forward-To";
 constexpr std::string_view start_time_header = "Hawthornnotch-Forward-Start-Time";
 constexpr std::string_view time_left_header = "Hawthornnotch-Forward-Time-Ms";
@@ -34,6 +35,14 @@
 constexpr std::string_view server_unreachable = "server_unreachable";
 /// The request may have been sent.
 constexpr std::string_view may_be_sent = "may_be_sent";
+/// Outcomes of a check.
+constexpr std::string_view server_accepts = "accepts";
+constexpr std::string_view server_refuses = "refuses";
+constexpr std::string_view server_unknown = "unknown";
+/// VMs that are asked whether a server has crashed.
+constexpr std::size_t asked_per_check = 2;
+/// Longer than the connections that the other VM opens.
+constexpr duration check_answer_timeout{1'500};
 constexpr unsigned status_bad_gateway = 502;
 /// VMs that are asked to send one attempt.
 constexpr std::size_t max_asked_per_attempt = 4;
@@ -135,17 +144,46 @@
   co_return failed{failure};
 }
 
+asio::awaitable<net::connect_check> forward_link::check_crash(const servers::server_entry& server) {
+  std::vector<endpoint> asked = shared_.peers.live_addresses(shared_.time.now());
+  std::shuffle(asked.begin(), asked.end(), shared_.random.engine());
+  asked.resize(std::min(asked.size(), asked_per_check));
+  net::http_request question;
+  question.headers = {{std::string(server_header), server.id},
+                      {std::string(start_time_header), std::to_string(server.start_time_ms)}};
+  net::exchange_limits limits;
+  limits.connect_timeout = connect_timeout;
+  limits.head_timeout = check_answer_timeout;
+  limits.total_timeout = check_answer_timeout;
+  limits.tcp_user_timeout = tcp_user_timeout;
+  net::connect_check found = net::connect_check::unknown;
+  for (const endpoint& vm : asked) {
+    const auto answer = co_await shared_.http->fetch(vm, question, limits);
+    const std::string_view outcome =
+        answer ? answer->header(outcome_header).value_or(server_unknown) : server_unknown;
+    if (outcome == server_accepts) {
+      co_return net::connect_check::accepted;
+    }
+    if (outcome == server_refuses) {
+      found = net::connect_check::refused;
+    }
+  }
+  co_return found;
+}
+
 // An attempt that another VM asks this one to send.
 struct forward_link::incoming {
   explicit incoming(const net::http_request& request)
       : server_id(request.header(server_header).value_or("")),
         request_id(request.header(request_id_header).value_or("")),
         sender(request.header(sender_header).value_or("")),
+        only_checks(!request.header(request_id_header)),
         start_time_ms(number_in(request, start_time_header)),
         time_left{number_in(request, time_left_header)} {}
   std::string server_id;
   std::string request_id;
   std::string sender;
+  bool only_checks;
   std::int64_t start_time_ms;
   duration time_left;
 };
@@ -172,6 +210,10 @@
 asio::awaitable<void> forward_link::handle(net::http_request request,
                                            net::response_writer& writer) {
   const incoming attempt(request);
+  if (attempt.only_checks) {
+    co_await answer_check(attempt, writer);
+    co_return;
+  }
   const servers::server_entry* listed = find_server(attempt);
   if (const std::string_view outcome = refusal_of(listed); !outcome.empty()) {
     co_await refuse(attempt, outcome, writer);
@@ -216,6 +258,22 @@
   open_attempts_.erase(cancellation.get());
 }
 
+asio::awaitable<void> forward_link::answer_check(const incoming& attempt,
+                                                 net::response_writer& writer) {
+  const servers::server_entry* listed = find_server(attempt);
+  net::connect_check found = net::connect_check::unknown;
+  if (listed != nullptr) {
+    found = co_await paths_.check_crash(*listed);
+  }
+  std::string_view outcome = server_unknown;
+  if (found != net::connect_check::unknown) {
+    outcome = found == net::connect_check::accepted ? server_accepts : server_refuses;
+  }
+  net::http_response response;
+  response.headers.emplace_back(std::string(outcome_header), std::string(outcome));
+  std::ignore = co_await writer.send(std::move(response));
+}
+
 asio::awaitable<void> forward_link::deliver(net::response_stream& answer,
                                             net::response_writer& writer) {
   net::header_list headers = net::end_to_end_headers(answer.head().headers);
--- a/src/gateway/forward_link.h
+++ b/src/gateway/forward_link.h
@@ -43,6 +43,9 @@
   boost::asio::awaitable<result<std::unique_ptr<net::response_stream>, net::net_failure>> open(
       const forwarded_attempt& attempt, net::http_request message, net::exchange_limits limits,
       std::size_t& refusals);
+  // Asks a few other VMs whether the server has crashed.  \returns `accepted` if one of them
+  // reaches it, `refused` if none does and one found that it has crashed.
+  boost::asio::awaitable<net::connect_check> check_crash(const servers::server_entry& server);
   // \returns whether another VM may be asked to send to the service.
   [[nodiscard]] bool has_forwarder(std::string_view service) const;
   [[nodiscard]] static bool is_forwarded(const net::http_request& request);
@@ -57,6 +60,7 @@
   struct incoming;
   [[nodiscard]] const servers::server_entry* find_server(const incoming& attempt) const;
   [[nodiscard]] std::string_view refusal_of(const servers::server_entry* listed) const;
+  boost::asio::awaitable<void> answer_check(const incoming& attempt, net::response_writer& writer);
   boost::asio::awaitable<void> deliver(net::response_stream& answer, net::response_writer& writer);
   boost::asio::awaitable<void> refuse(const incoming& attempt, std::string_view outcome,
                                       net::response_writer& writer);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -81,11 +81,12 @@
                 stable_hash(make_incarnation())),
         updater_(shared_, {[this] { on_change(); }, [this] { on_restore(); },
                            [this](auto services) { on_versions_mixed(services); }}),
-        crashes_(shared_, context_.get_executor(), [this] { link_.spread_news(); }),
-        link_(shared_, updater_, crashes_, context_.get_executor()),
-        origins_(shared_, context_.get_executor()),
         paths_(shared_, context_.get_executor()),
         forwards_(shared_, paths_),
+        crashes_(shared_, paths_, forwards_, context_.get_executor(),
+                 [this] { link_.spread_news(); }),
+        link_(shared_, updater_, crashes_, context_.get_executor()),
+        origins_(shared_, context_.get_executor()),
         stop_timer_(context_) {
     shared_.http = std::move(http);
     shared_.dispatcher.limits().start(shared_.settings.vm, shared_.time.now());
@@ -328,11 +329,11 @@
   asio::io_context context_{1};
   gateway_state shared_;
   state_updater updater_;
+  path_monitor paths_;
+  forward_link forwards_;
   crash_guard crashes_;
   peer_link link_;
   origin_link origins_;
-  path_monitor paths_;
-  forward_link forwards_;
   std::unique_ptr<platform::long_poll_store> store_;
   std::optional<config_watcher> config_;
   std::optional<server_list_poller> list_;
--- a/src/gateway/path_monitor.cpp
+++ b/src/gateway/path_monitor.cpp
@@ -17,7 +17,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds check_interval{100};
+/// A server in a network partition does not refuse connections; it does not answer.
 constexpr duration check_timeout{300};
+/// Other servers of the service that are checked beside one that may have crashed.
+constexpr std::size_t crash_check_controls = 3;
 
 paths::server_key key_of(const servers::server_entry& server) {
   return {server.service, server.id, server.start_time_ms};
@@ -115,6 +118,32 @@
   }
 }
 
+asio::awaitable<net::connect_check> path_monitor::check_crash(servers::server_entry server) {
+  const net::connect_check found =
+      co_await shared_.http->check_connect(server.address, check_timeout);
+  if (found != net::connect_check::refused) {
+    co_return found;
+  }
+  std::vector<endpoint> others;
+  for (const servers::server_entry* each : shared_.servers.serving(server.service)) {
+    if (each->id != server.id) {
+      others.push_back(each->address);
+    }
+  }
+  std::shuffle(others.begin(), others.end(), shared_.random.engine());
+  others.resize(std::min(others.size(), crash_check_controls));
+  if (others.empty()) {
+    co_return net::connect_check::refused;
+  }
+  for (const endpoint& other : others) {
+    const net::connect_check control = co_await shared_.http->check_connect(other, check_timeout);
+    if (control == net::connect_check::accepted) {
+      co_return net::connect_check::refused;
+    }
+  }
+  co_return net::connect_check::unknown;
+}
+
 void path_monitor::update_gauges() const {
   shared_.metrics->gauge("hawthornnotch_broken_paths", {},
                          static_cast<double>(shared_.paths.broken_count()));
