--- a/tests/gateway/cut_off_from_servers_test.cpp
+++ b/tests/gateway/cut_off_from_servers_test.cpp
@@ -1,5 +1,6 @@
 // Guards against callers who are not served since their entry VM reaches no backend server.
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <memory>
@@ -9,8 +10,9 @@
 #include <vector>
 
 #include "gateway_fixture.h"
+#include "hawthornnotch/net/deflate.h"
+#include "hawthornnotch/relay/exchange.h"
 #include "partitioned_client.h"
-#include "recording_peer.h"
 #include "test_case.h"
 
 namespace hawthornnotch::test {
@@ -29,7 +31,8 @@
 // Two entry VMs with the same servers; the first can be cut off from them.
 class cut_off_fleet {
  public:
-  explicit cut_off_fleet(const fake_server::behaviour& answers = answer_ok) {
+  explicit cut_off_fleet(const fake_server::behaviour& answers = answer_ok,
+                         bool answers_at_once = true) {
     cut_off.connect_through(std::make_unique<partitioned_client>(partition));
     for (std::size_t number = 0; number < stations_servers; ++number) {
       add("stations", number, answers);
@@ -40,7 +43,8 @@
     cut_off.start();
     other.start({cut_off.peers()});
     cut_off.await([&] { return cut_off.metric("hawthornnotch_live_entry_vms") == 2.0; });
-    for (int number = 0; number < counted_requests; ++number) {
+    const int warming_requests = answers_at_once ? counted_requests : 0;
+    for (int number = 0; number < warming_requests; ++number) {
       std::ignore = cut_off.call(make_request("GET", "/read/0", "warm" + std::to_string(number)));
     }
   }
@@ -80,6 +84,25 @@
     return answer ? answer->status : 0;
   }
 
+  // \returns how often servers received a request.
+  std::size_t count_received(const std::string& id) {
+    std::size_t count = 0;
+    for (fake_server* server : servers) {
+      for (const http_request& each : server->received()) {
+        count += each.header("X-Attempt-Id") == id ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  std::size_t count_disconnects() {
+    std::size_t count = 0;
+    for (fake_server* server : servers) {
+      count += server->disconnects();
+    }
+    return count;
+  }
+
   // \returns how many of the counted first tries were served.
   int count_served(const std::string& id) {
     int served = 0;
@@ -153,5 +176,135 @@
   CPPUNIT_ASSERT_EQUAL(counted_requests, fleet.count_served("c"));
 }
 
+TEST_THAT(cut_off_vm, refuses_at_once_as_not_run_where_nobody_reaches_servers) {
+  gateway_fixture alone;
+  const auto partition = std::make_shared<network_partition>();
+  alone.connect_through(std::make_unique<partitioned_client>(partition));
+  for (std::size_t number = 0; number < forecast_servers; ++number) {
+    fake_server& server = alone.add_server("s" + std::to_string(number), "forecast", stream_four);
+    partition->cut(server.address(), partition_kind::silent);
+  }
+  alone.start();
+  alone.await([&] {
+    return alone.metric("hawthornnotch_cut_off_services") == 1.0 ||
+           alone.call(make_request("POST", "/draft/1", "a")).has_value() == false;
+  });
+  const auto begun = steady_clock::now();
+  const auto answer = alone.call(make_request("POST", "/draft/1", "b"));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+  CPPUNIT_ASSERT(answer->header("Retry-After").has_value());
+  CPPUNIT_ASSERT(steady_clock::now() - begun < milliseconds(250));
+}
+
+// The connection between the VMs may break after the request was sent.
+TEST_THAT(forwarded_request, is_not_repeated_if_it_may_have_run) {
+  cut_off_fleet fleet(abort_connection, false);
+  fleet.cut_all(partition_kind::reset);
+  fleet.settle();
+  const auto received_before = fleet.count_received("x");
+  const auto answer = fleet.cut_off.call(make_request("POST", "/order/1", "x"));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(502U, answer->status);
+  CPPUNIT_ASSERT_EQUAL(received_before + 1, fleet.count_received("x"));
+}
+
+TEST_THAT(forwarded_request, is_cancelled_at_the_server_when_its_caller_leaves) {
+  cut_off_fleet fleet(never_answer, false);
+  fleet.cut("stations", partition_kind::reset, stations_servers, 0);
+  const auto before = fleet.count_disconnects();
+  for (int number = 0; number < 3; ++number) {
+    fleet.cut_off.call_and_disconnect(make_request("POST", "/order/1", std::to_string(number)));
+  }
+  fleet.cut_off.await([&] { return fleet.count_disconnects() >= before + 3; });
+}
+
+TEST_THAT(forwarded_request, reaches_the_server_as_it_came) {
+  cut_off_fleet fleet;
+  fleet.cut_all(partition_kind::reset);
+  fleet.settle();
+  http_request request = make_request("POST", "/order/1?a=b", "whole");
+  request.body = std::string(100'000, 'x');
+  request.headers.emplace_back("Hawthornnotch-Forward-To", "a caller's");
+  const auto answer = fleet.cut_off.call(request);
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(200U, answer->status);
+  CPPUNIT_ASSERT_EQUAL(std::string("seal"), std::string(*answer->header("X-Response-Seal")));
+  CPPUNIT_ASSERT(!answer->header("Hawthornnotch-Forward-Outcome"));
+  CPPUNIT_ASSERT_EQUAL(request.target + "|" + request.body, answer->body);
+  for (fake_server* server : fleet.servers) {
+    for (const http_request& each : server->received()) {
+      if (each.header("X-Attempt-Id") == "whole") {
+        CPPUNIT_ASSERT(each.header("Hawthornnotch-Forward-To") == "a caller's");
+        CPPUNIT_ASSERT(each.header("X-Expect-Instance") == server->id());
+        CPPUNIT_ASSERT(!each.header("Hawthornnotch-Forward-Request"));
+      }
+    }
+  }
+}
+
+TEST_THAT(forwarded_request, brings_each_event_of_a_stream_once) {
+  cut_off_fleet fleet;
+  fleet.cut_all(partition_kind::silent);
+  fleet.settle();
+  const auto answer = fleet.cut_off.call(make_request("POST", "/draft/1", "stream"));
+  CPPUNIT_ASSERT(answer);
+  std::string expected;
+  for (int id = 1; id <= 4; ++id) {
+    expected += "id: " + std::to_string(id) + "\ndata: token\n\n";
+  }
+  CPPUNIT_ASSERT_EQUAL(expected, answer->body);
+}
+
+// A VM of an earlier release: it takes part in exchanges and rejects all other messages.
+class earlier_vm {
+ public:
+  earlier_vm()
+      : server_(runtime_, "earlier",
+                [this](const http_request& request,
+                       net::response_writer& writer) -> boost::asio::awaitable<void> {
+                  http_response response;
+                  if (request.target == "/exchange") {
+                    response.body = net::deflate(relay::encode(next_message()));
+                  } else {
+                    ++rejected_;
+                    response.status = 400;
+                  }
+                  std::ignore = co_await writer.send(std::move(response));
+                }) {}
+  ~earlier_vm() { runtime_.stop(); }
+  earlier_vm(const earlier_vm&) = delete;
+  earlier_vm& operator=(const earlier_vm&) = delete;
+  [[nodiscard]] endpoint address() const { return server_.address(); }
+  [[nodiscard]] int rejected() const { return rejected_; }
+
+ private:
+  relay::exchange_message next_message() {
+    relay::exchange_message message;
+    message.from.vm = "earlier";
+    message.from.incarnation = "1";
+    message.from.heartbeat = ++heartbeat_;
+    message.from.address = address();
+    return message;
+  }
+
+  std::atomic<std::uint64_t> heartbeat_{0};
+  std::atomic<int> rejected_{0};
+  loopback_runtime runtime_;
+  fake_server server_;
+};
+
+TEST_THAT(forwarded_request, goes_to_another_vm_if_one_is_of_an_earlier_release) {
+  cut_off_fleet fleet;
+  earlier_vm earlier;
+  gateway_fixture third;
+  third.start_vm("entry-3", {fleet.cut_off.peers(), earlier.address()});
+  fleet.cut_off.await([&] { return fleet.cut_off.metric("hawthornnotch_live_entry_vms") == 4.0; });
+  fleet.cut_all(partition_kind::reset);
+  fleet.settle();
+  CPPUNIT_ASSERT_EQUAL(counted_requests, fleet.count_served("c"));
+  CPPUNIT_ASSERT(earlier.rejected() > 0);
+}
+
 }  // namespace
 }  // namespace hawthornnotch::test
