--- a/tests/adapter/wire_protocol_test.cpp
+++ b/tests/adapter/wire_protocol_test.cpp
@@ -249,5 +249,27 @@
   CPPUNIT_ASSERT(std::holds_alternative<servers::not_limited>(wire.decode_answer(response).limit));
 }
 
+TEST_THAT(wire_protocol, reads_the_rejections_that_a_brittle_server_bears) {
+  const wire_protocol wire;
+  const auto bearable = [&](const net::header_list& headers, unsigned status = 200) {
+    net::http_response response;
+    response.status = status;
+    response.headers = headers;
+    return wire.decode_answer(response).bearable_rejections_per_s;
+  };
+  CPPUNIT_ASSERT(bearable({{"X-Response-Seal", "seal"}, {"Server-Brittle", "3"}}) == 3U);
+  CPPUNIT_ASSERT(bearable({{"X-Not-Executed", "1"}, {"server-brittle", "0"}}, 503) == 0U);
+  CPPUNIT_ASSERT(bearable({{"X-Response-Seal", "seal"},
+                           {"Server-Brittle", "9"},
+                           {"Server-Brittle", "x"},
+                           {"Server-Brittle", "4"}}) == 4U);
+  CPPUNIT_ASSERT(bearable({{"X-Response-Seal", "seal"}, {"Server-Brittle", "1e30"}}) == 1'000'000U);
+  for (const char* nonsense : {"", "-1", "nan", "soon", "1 2"}) {
+    CPPUNIT_ASSERT(!bearable({{"X-Response-Seal", "seal"}, {"Server-Brittle", nonsense}}));
+  }
+  CPPUNIT_ASSERT(!bearable({{"Server-Brittle", "3"}}));
+  CPPUNIT_ASSERT(!bearable({{"X-Not-Executed", "1"}, {"Server-Brittle", "3"}}, 421));
+}
+
 }  // namespace
 }  // namespace hawthornnotch::adapter
--- a/tests/dispatch/brittle_servers_fleet_test.cpp
+++ b/tests/dispatch/brittle_servers_fleet_test.cpp
@@ -24,6 +24,8 @@
 constexpr std::uint32_t waiting_places = 2;
 constexpr duration work_time{400};
 constexpr duration work_spread{400};
+// A request takes `work_time` and up to `work_spread` more.
+constexpr double mean_work_ms = 600;
 // Load of the burst in units of what the servers can run.
 constexpr double burst_load = 2.0;
 constexpr duration fall_time{3'000};
@@ -75,8 +77,7 @@
   }
 
   void run() {
-    const double mean_work = static_cast<double>(work_time.ms + work_spread.ms / 2);
-    const double capacity = static_cast<double>(size_.servers * size_.slots) / mean_work;
+    const double capacity = static_cast<double>(size_.servers * size_.slots) / mean_work_ms;
     double due = 0;
     while (now_ < time_point{} + run_time) {
       now_ = now_ + step;
@@ -98,9 +99,8 @@
   }
   [[nodiscard]] std::size_t served() const { return served_; }
   [[nodiscard]] std::size_t possible() const {
-    const double mean_work = static_cast<double>(work_time.ms + work_spread.ms / 2);
     return static_cast<std::size_t>(static_cast<double>(size_.servers * size_.slots) *
-                                    static_cast<double>(run_time.ms) / mean_work);
+                                    static_cast<double>(run_time.ms) / mean_work_ms);
   }
 
  private:
--- a/tests/gateway/cut_off_from_servers_test.cpp
+++ b/tests/gateway/cut_off_from_servers_test.cpp
@@ -68,6 +68,7 @@
   void settle(milliseconds time = settle_time) {
     const auto end = steady_clock::now() + time;
     std::vector<std::future<void>> callers;
+    callers.reserve(kinds);
     for (int kind = 0; kind < kinds; ++kind) {
       callers.push_back(std::async(std::launch::async, [this, kind, end] {
         for (int number = kind; steady_clock::now() < end; number += kinds) {
