--- a/src/gateway/forward_link.cpp
+++ b/src/gateway/forward_link.cpp
@@ -4,12 +4,14 @@
 #include <boost/beast/core/string.hpp>
 #include <charconv>
 #include <limits>
+#include <optional>
 #include <tuple>
 #include <utility>
 #include <vector>
 
 #include "hawthornnotch/net/end_to_end.h"
 #include "hawthornnotch/observe/log.h"
+#include "server_timeouts.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -28,13 +30,6 @@
 constexpr std::string_view sender_header = "Hawthornnotch-Forward-From";
 /// Header of the response: whose it is, or what failed.
 constexpr std::string_view outcome_header = "Hawthornnotch-Forward-Outcome";
-constexpr std::string_view server_responded = "server";
-/// Nothing was sent, and this VM sends nothing to the service for now.
-constexpr std::string_view not_sent = "not_sent";
-/// Nothing was sent, since the server could not be reached.
-constexpr std::string_view server_unreachable = "server_unreachable";
-/// The request may have been sent.
-constexpr std::string_view may_be_sent = "may_be_sent";
 /// Outcomes of a check.
 constexpr std::string_view server_accepts = "accepts";
 constexpr std::string_view server_refuses = "refuses";
@@ -48,8 +43,43 @@
 constexpr std::size_t max_asked_per_attempt = 4;
 /// VMs that find the server unreachable before the attempt fails.
 constexpr std::size_t max_unreachable_per_attempt = 2;
-constexpr duration connect_timeout{300};
-constexpr duration tcp_user_timeout{1'500};
+
+std::string_view to_string(forward_outcome outcome) {
+  switch (outcome) {
+    case forward_outcome::responded:
+      return "responded";
+    case forward_outcome::not_sent:
+      return "not_sent";
+    case forward_outcome::server_unreachable:
+      return "server_unreachable";
+    case forward_outcome::may_be_sent:
+      return "may_be_sent";
+  }
+  return "";
+}
+
+// A response without a known outcome comes from a VM of an earlier release, which sends nothing.
+forward_outcome outcome_of(const net::http_response& head) {
+  const std::string_view named = head.header(outcome_header).value_or("");
+  for (const forward_outcome each :
+       {forward_outcome::responded, forward_outcome::server_unreachable,
+        forward_outcome::may_be_sent}) {
+    if (named == to_string(each)) {
+      return each;
+    }
+  }
+  return forward_outcome::not_sent;
+}
+
+// The other VM could not be reached, or the connection to it broke.
+forward_outcome outcome_of(const net::net_failure& failure) {
+  return failure.request_may_have_been_sent ? forward_outcome::may_be_sent
+                                            : forward_outcome::not_sent;
+}
+
+net::header_list outcome_headers(forward_outcome outcome) {
+  return {{std::string(outcome_header), std::string(to_string(outcome))}};
+}
 
 void erase_first(net::header_list& headers, std::string_view name) {
   const auto found = std::find_if(headers.begin(), headers.end(), [&](const auto& each) {
@@ -104,7 +134,6 @@
                           {std::string(sender_header), shared_.settings.vm}});
   // The other VM checks whose response it is.
   limits.is_expected = nullptr;
-  net::net_failure failure{net::net_failure_kind::connect, false};
   std::vector<endpoint> tried;
   std::size_t unreachable = 0;
   while (tried.size() < max_asked_per_attempt && unreachable < max_unreachable_per_attempt) {
@@ -118,30 +147,28 @@
     log_event(level::info, "forward_sent",
               {{"request_id", attempt.request_id}, {"server", server.id}, {"via", vm->address}});
     auto opened = co_await shared_.http->open(*vm, message, limits);
-    if (!opened) {
-      failure = opened.last_reason();
-      if (failure.request_may_have_been_sent || failure.kind == net::net_failure_kind::cancelled) {
-        co_return failed{failure};
-      }
-    } else {
-      const std::string_view outcome = (*opened)->head().header(outcome_header).value_or(not_sent);
-      if (outcome == server_responded) {
+    const forward_outcome outcome =
+        opened ? outcome_of((*opened)->head()) : outcome_of(opened.last_reason());
+    switch (outcome) {
+      case forward_outcome::responded:
         co_return std::unique_ptr<net::response_stream>(
             std::make_unique<forwarded_response>(std::move(*opened)));
-      }
-      if (outcome == may_be_sent) {
-        co_return failed{net::net_failure{net::net_failure_kind::closed, true}};
-      }
-      failure = {net::net_failure_kind::connect, false};
-      if (outcome == server_unreachable) {
+      case forward_outcome::may_be_sent:
+        co_return failed{opened ? net::net_failure{net::net_failure_kind::closed, true}
+                                : opened.last_reason()};
+      case forward_outcome::server_unreachable:
         ++unreachable;
-        continue;
-      }
+        break;
+      case forward_outcome::not_sent:
+        if (!opened && opened.last_reason().kind == net::net_failure_kind::cancelled) {
+          co_return failed{opened.last_reason()};
+        }
+        ++refusals;
+        shared_.forwarders.record_refusal(server.service, *vm, shared_.time.now());
+        break;
     }
-    ++refusals;
-    shared_.forwarders.record_refusal(server.service, *vm, shared_.time.now());
   }
-  co_return failed{failure};
+  co_return failed{net::net_failure{net::net_failure_kind::connect, false}};
 }
 
 asio::awaitable<net::connect_check> forward_link::check_crash(const servers::server_entry& server) {
@@ -152,10 +179,10 @@
   question.headers = {{std::string(server_header), server.id},
                       {std::string(start_time_header), std::to_string(server.start_time_ms)}};
   net::exchange_limits limits;
-  limits.connect_timeout = connect_timeout;
+  limits.connect_timeout = server_connect_timeout;
   limits.head_timeout = check_answer_timeout;
   limits.total_timeout = check_answer_timeout;
-  limits.tcp_user_timeout = tcp_user_timeout;
+  limits.tcp_user_timeout = server_tcp_user_timeout;
   net::connect_check found = net::connect_check::unknown;
   for (const endpoint& vm : asked) {
     const auto answer = co_await shared_.http->fetch(vm, question, limits);
@@ -198,13 +225,13 @@
   return meant && !listed->leaving ? listed : nullptr;
 }
 
-// \returns the outcome if nothing will be sent to the server; empty otherwise.
-std::string_view forward_link::refusal_of(const servers::server_entry* listed) const {
+// \returns the outcome if nothing will be sent to the server; none otherwise.
+std::optional<forward_outcome> forward_link::refusal_of(const servers::server_entry* listed) const {
   if (shared_.stopping || (listed != nullptr && shared_.paths.is_cut_off(listed->service))) {
-    return not_sent;
+    return forward_outcome::not_sent;
   }
   const bool reachable = listed != nullptr && paths_.is_usable(*listed);
-  return reachable ? std::string_view() : server_unreachable;
+  return reachable ? std::nullopt : std::optional(forward_outcome::server_unreachable);
 }
 
 asio::awaitable<void> forward_link::handle(net::http_request request,
@@ -215,8 +242,8 @@
     co_return;
   }
   const servers::server_entry* listed = find_server(attempt);
-  if (const std::string_view outcome = refusal_of(listed); !outcome.empty()) {
-    co_await refuse(attempt, outcome, writer);
+  if (const auto outcome = refusal_of(listed)) {
+    co_await refuse(attempt, *outcome, writer);
     co_return;
   }
   const servers::server_entry server = *listed;
@@ -229,8 +256,8 @@
   open_attempts_.emplace(cancellation.get(), cancellation);
   writer.on_peer_disconnect([cancellation] { cancellation->cancel(); });
   net::exchange_limits limits;
-  limits.connect_timeout = std::min(connect_timeout, attempt.time_left);
-  limits.tcp_user_timeout = tcp_user_timeout;
+  limits.connect_timeout = std::min(server_connect_timeout, attempt.time_left);
+  limits.tcp_user_timeout = server_tcp_user_timeout;
   limits.head_timeout = attempt.time_left;
   limits.read_timeout = attempt.time_left;
   limits.body_bytes = std::numeric_limits<std::uint64_t>::max();
@@ -277,7 +304,8 @@
 asio::awaitable<void> forward_link::deliver(net::response_stream& answer,
                                             net::response_writer& writer) {
   net::header_list headers = net::end_to_end_headers(answer.head().headers);
-  headers.insert(headers.begin(), {std::string(outcome_header), std::string(server_responded)});
+  const net::header_list mark = outcome_headers(forward_outcome::responded);
+  headers.insert(headers.begin(), mark.begin(), mark.end());
   const auto started = co_await writer.start(answer.head().status, std::move(headers));
   bool delivered = started.has_value();
   while (delivered) {
@@ -296,16 +324,16 @@
   answer.cancel();
 }
 
-asio::awaitable<void> forward_link::refuse(const incoming& attempt, std::string_view outcome,
+asio::awaitable<void> forward_link::refuse(const incoming& attempt, forward_outcome outcome,
                                            net::response_writer& writer) {
   log_event(level::info, "forward_refused",
             {{"request_id", attempt.request_id},
              {"server", attempt.server_id},
              {"sender", attempt.sender},
-             {"why", outcome}});
+             {"why", to_string(outcome)}});
   net::http_response response;
   response.status = status_bad_gateway;
-  response.headers.emplace_back(std::string(outcome_header), std::string(outcome));
+  response.headers = outcome_headers(outcome);
   std::ignore = co_await writer.send(std::move(response));
 }
 
@@ -319,9 +347,9 @@
              {"sent", failure.request_may_have_been_sent}});
   net::http_response response;
   response.status = status_bad_gateway;
-  response.headers.emplace_back(
-      std::string(outcome_header),
-      std::string(failure.request_may_have_been_sent ? may_be_sent : server_unreachable));
+  response.headers =
+      outcome_headers(failure.request_may_have_been_sent ? forward_outcome::may_be_sent
+                                                         : forward_outcome::server_unreachable);
   std::ignore = co_await writer.send(std::move(response));
 }
 
--- a/src/gateway/forward_link.h
+++ b/src/gateway/forward_link.h
@@ -4,10 +4,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
-#include <functional>
+#include <cstdint>
 #include <map>
 #include <memory>
-#include <string>
+#include <optional>
 #include <string_view>
 
 #include "gateway_state.h"
@@ -18,6 +18,18 @@
 
 namespace hawthornnotch::gateway::internal {
 
+// What another entry VM made of an attempt that it was asked to send.
+enum class forward_outcome : std::uint8_t {
+  // The response is the server's.
+  responded,
+  // Nothing was sent, and that VM sends nothing to the service for now.
+  not_sent,
+  // Nothing was sent, since the server could not be reached.
+  server_unreachable,
+  // The request may have been sent.
+  may_be_sent,
+};
+
 // An attempt that is sent through another entry VM.
 struct forwarded_attempt {
   std::string_view request_id;
@@ -59,10 +71,11 @@
  private:
   struct incoming;
   [[nodiscard]] const servers::server_entry* find_server(const incoming& attempt) const;
-  [[nodiscard]] std::string_view refusal_of(const servers::server_entry* listed) const;
+  [[nodiscard]] std::optional<forward_outcome> refusal_of(
+      const servers::server_entry* listed) const;
   boost::asio::awaitable<void> answer_check(const incoming& attempt, net::response_writer& writer);
   boost::asio::awaitable<void> deliver(net::response_stream& answer, net::response_writer& writer);
-  boost::asio::awaitable<void> refuse(const incoming& attempt, std::string_view outcome,
+  boost::asio::awaitable<void> refuse(const incoming& attempt, forward_outcome outcome,
                                       net::response_writer& writer);
   boost::asio::awaitable<void> fail(const incoming& attempt, const net::net_failure& failure,
                                     net::response_writer& writer);
--- a/src/gateway/path_monitor.cpp
+++ b/src/gateway/path_monitor.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hawthornnotch/observe/log.h"
+#include "server_timeouts.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -17,8 +18,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds check_interval{100};
-/// A server in a network partition does not refuse connections; it does not answer.
-constexpr duration check_timeout{300};
 /// Other servers of the service that are checked beside one that may have crashed.
 constexpr std::size_t crash_check_controls = 3;
 
@@ -110,7 +109,7 @@
 
 asio::awaitable<void> path_monitor::check(servers::server_entry server) {
   const net::connect_check found =
-      co_await shared_.http->check_connect(server.address, check_timeout);
+      co_await shared_.http->check_connect(server.address, server_connect_timeout);
   if (found == net::connect_check::accepted) {
     record_success(server);
   } else {
@@ -120,7 +119,7 @@
 
 asio::awaitable<net::connect_check> path_monitor::check_crash(servers::server_entry server) {
   const net::connect_check found =
-      co_await shared_.http->check_connect(server.address, check_timeout);
+      co_await shared_.http->check_connect(server.address, server_connect_timeout);
   if (found != net::connect_check::refused) {
     co_return found;
   }
@@ -136,7 +135,8 @@
     co_return net::connect_check::refused;
   }
   for (const endpoint& other : others) {
-    const net::connect_check control = co_await shared_.http->check_connect(other, check_timeout);
+    const net::connect_check control =
+        co_await shared_.http->check_connect(other, server_connect_timeout);
     if (control == net::connect_check::accepted) {
       co_return net::connect_check::refused;
     }
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -9,6 +9,7 @@
 
 #include "hawthornnotch/base/hash.h"
 #include "hawthornnotch/observe/log.h"
+#include "server_timeouts.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -18,10 +19,6 @@
 
 namespace {
 
-/// Timeout for connecting to a backend server.
-constexpr duration connect_timeout{300};
-/// A connection is closed when sent bytes stay unacknowledged for this long.
-constexpr duration tcp_user_timeout{1'500};
 /// Minimum timeout for a stream's next event before the stream resumes at another server.
 constexpr duration min_first_event_timeout{2'500};
 /// A stream times out after this multiple of the expected time to its first event.
@@ -249,8 +246,8 @@
 net::exchange_limits proxied_request::limits_for(const dispatch::placement& to) {
   net::exchange_limits limits;
   const duration rest = time_remaining();
-  limits.connect_timeout = std::min(connect_timeout, rest);
-  limits.tcp_user_timeout = tcp_user_timeout;
+  limits.connect_timeout = std::min(server_connect_timeout, rest);
+  limits.tcp_user_timeout = server_tcp_user_timeout;
   limits.head_timeout = rest;
   limits.read_timeout = rest;
   const bool streams = route_->kind == routes::repeatability::event_stream;
