--- a/include/hawthornnotch/dispatch/brittle_quota.h
+++ b/include/hawthornnotch/dispatch/brittle_quota.h
@@ -32,7 +32,7 @@
 };
 
 /// A server at which one more request might be sent.
-struct place_query {
+struct room_query {
   server_incarnation server;
   std::uint32_t slots = 0;
   requests_in_flight in_flight;
@@ -69,7 +69,7 @@
   void record_rejection(const server_incarnation& server, const requests_in_flight& at_server,
                         time_point now);
   /// \returns whether this VM may send one more request to the server.
-  [[nodiscard]] bool has_place(const place_query& query, const service_size& size, time_point now);
+  [[nodiscard]] bool has_place(const room_query& query, const service_size& size, time_point now);
 
  private:
   struct notice {
--- a/src/dispatch/brittle_quota.cpp
+++ b/src/dispatch/brittle_quota.cpp
@@ -108,7 +108,7 @@
   known.full_at = now;
 }
 
-bool brittle_quota::has_place(const place_query& query, const service_size& size, time_point now) {
+bool brittle_quota::has_place(const room_query& query, const service_size& size, time_point now) {
   const room* known = find(query.server);
   const bool full_lately =
       known != nullptr && known->when_full && now - known->full_at < full_lifetime;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -166,8 +166,8 @@
       continue;
     }
     const server_incarnation incarnation{server->id, server->start_time_ms};
-    const place_query place{incarnation, server->slots, {state.running, state.all_running()}};
-    const bool has_place = !brittle || brittle_.has_place(place, size, query.now);
+    const room_query room{incarnation, server->slots, {state.running, state.all_running()}};
+    const bool has_place = !brittle || brittle_.has_place(room, size, query.now);
     if (!has_place || !limits_.has_permit(incarnation, query.now)) {
       ++at_limit;
       continue;
