--- a/tests/gateway/cut_off_from_servers_test.cpp
+++ b/tests/gateway/cut_off_from_servers_test.cpp
@@ -1,6 +1,9 @@
 // Guards against callers who are not served since their entry VM reaches no backend server.
 #include <array>
 #include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <future>
 #include <memory>
@@ -257,6 +260,51 @@
   CPPUNIT_ASSERT_EQUAL(expected, answer->body);
 }
 
+// Makes the process of a VM stand still for a time.
+void stall(gateway_fixture& vm, milliseconds time) {
+  boost::asio::post(vm.gateway().executor(), [time] { std::this_thread::sleep_for(time); });
+}
+
+// Sends bytes and closes the connection at once.
+void send_and_leave(const endpoint& to, const std::string& bytes) {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect({boost::asio::ip::make_address(to.address), to.port});
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+}
+
+constexpr milliseconds stall_time{300};
+
+TEST_THAT(forwarded_request, is_not_sent_if_its_sender_left_while_the_vm_stood_still) {
+  cut_off_fleet fleet;
+  fleet.cut_all(partition_kind::reset);
+  fleet.settle(milliseconds(1'000));
+  fake_server& server = *fleet.servers.front();
+  stall(fleet.other, stall_time);
+  send_and_leave(fleet.other.peers(),
+                 "POST /order/1 HTTP/1.1\r\nHost: ice.example\r\nX-Attempt-Id: left\r\n"
+                 "Hawthornnotch-Forward-To: " +
+                     server.id() +
+                     "\r\nHawthornnotch-Forward-Start-Time: 1\r\n"
+                     "Hawthornnotch-Forward-Time-Ms: 5000\r\n"
+                     "Hawthornnotch-Forward-Request: left\r\nContent-Length: 0\r\n\r\n");
+  std::this_thread::sleep_for(2 * stall_time);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.count_received("left"));
+}
+
+TEST_THAT(request, is_not_sent_if_its_caller_left_while_the_vm_stood_still) {
+  gateway_fixture fixture;
+  fake_server& server = fixture.add_server("s1", "stations", answer_ok);
+  fixture.start();
+  fixture.send_reads(4);
+  const std::size_t before = server.received().size();
+  stall(fixture, stall_time);
+  send_and_leave(fixture.callers(),
+                 "GET /open/1 HTTP/1.1\r\nHost: ice.example\r\nX-Attempt-Id: left\r\n\r\n");
+  std::this_thread::sleep_for(2 * stall_time);
+  CPPUNIT_ASSERT_EQUAL(before, server.received().size());
+}
+
 // A VM of an earlier release: it takes part in exchanges and rejects all other messages.
 class earlier_vm {
  public:
