Look at the sender's connection before a request is sent on

Cause: the event loop reports a closed connection in a turn of its own; a process that stood still reads the request and sends it on a kept connection before that turn comes. Evidence: two tests over sockets, a process that stands still for 300 ms while its sender leaves, sent once each before, never after.

--- a/include/hawthornnotch/net/http_server.h
+++ b/include/hawthornnotch/net/http_server.h
@@ -58,6 +58,9 @@
   /// Sets a callback that runs once, on the handler's strand, if the peer disconnects while the
   /// handler runs; at once if it already has.
   virtual void on_peer_disconnect(std::function<void()> callback) = 0;
+  /// Looks at the connection itself, so that it also sees what the event loop has not reported yet.
+  /// \returns false once the peer has closed its side or the connection has failed.
+  [[nodiscard]] virtual bool peer_connected() = 0;
 };
 
 using request_handler = std::function<boost::asio::awaitable<void>(http_request, response_writer&)>;
--- a/src/gateway/forward_link.cpp
+++ b/src/gateway/forward_link.cpp
@@ -263,7 +263,9 @@
   limits.body_bytes = std::numeric_limits<std::uint64_t>::max();
   limits.cancellation = cancellation;
   limits.request_tag = attempt.request_id;
-  limits.may_send = [this, &attempt] { return find_server(attempt) != nullptr; };
+  limits.may_send = [this, &attempt, &writer] {
+    return writer.peer_connected() && find_server(attempt) != nullptr;
+  };
   limits.is_expected = [this, &attempt](const net::http_response& head) {
     return shared_.wire.decode_answer(head).id == attempt.request_id;
   };
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -271,9 +271,13 @@
   return limits;
 }
 
-// While the connection was opened, the server may have announced that it is leaving, full or
-// limited, and the request may have been quarantined.
+// While the connection was opened, the caller may have left, the server may have announced that it
+// is leaving, full or limited, and the request may have been quarantined.
 bool proxied_request::server_accepts_work() {
+  caller_left_ = caller_left_ || !writer_.peer_connected();
+  if (caller_left_) {
+    return false;
+  }
   return !is_quarantined() &&
          shared_.dispatcher.may_send(*attempt_, placement_.server, shared_.time.now());
 }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -197,6 +197,8 @@
     disconnect_monitor_.on_disconnect(std::move(callback));
   }
 
+  bool peer_connected() override { return peek(stream_.socket()) != peek_result::end; }
+
  private:
   [[nodiscard]] server_limits limits() const { return *shared_->limits.read(); }
   [[nodiscard]] bool keep_alive() const {
--- a/src/standin/faults.cpp
+++ b/src/standin/faults.cpp
@@ -88,6 +88,7 @@
   void on_peer_disconnect(std::function<void()> callback) override {
     inner_.on_peer_disconnect(std::move(callback));
   }
+  bool peer_connected() override { return inner_.peer_connected(); }
 
  private:
   // A lost answer goes unnoticed by the handler; a stand-in that went down has lost its streams.
