Judge a crash beside servers whose paths work, and alone by what the VM sees itself

A refused connection counted as a crash only if one of three other servers, drawn from all, was reached; after a few crashes these had crashed as well, nothing was charged, the request was not quarantined and crashed all twelve servers. Now servers whose paths are broken are not drawn, and a VM that knows no other goes by its own observation, since it misleads nobody. Evidence: the refused requests follow each other (6 to 27 of 111), all servers_refused.

--- a/src/gateway/path_monitor.cpp
+++ b/src/gateway/path_monitor.cpp
@@ -120,18 +120,21 @@
 asio::awaitable<net::connect_check> path_monitor::check_crash(servers::server_entry server) {
   const net::connect_check found =
       co_await shared_.http->check_connect(server.address, server_connect_timeout);
-  if (found != net::connect_check::refused) {
+  const bool alone = shared_.peers.live_addresses(shared_.time.now()).empty();
+  if (found != net::connect_check::refused || alone) {
     co_return found;
   }
+  bool only_server = true;
   std::vector<endpoint> others;
   for (const servers::server_entry* each : shared_.servers.serving(server.service)) {
-    if (each->id != server.id) {
+    only_server = only_server && each->id == server.id;
+    if (each->id != server.id && is_usable(*each)) {
       others.push_back(each->address);
     }
   }
   std::shuffle(others.begin(), others.end(), shared_.random.engine());
   others.resize(std::min(others.size(), crash_check_controls));
-  if (others.empty()) {
+  if (only_server) {
     co_return net::connect_check::refused;
   }
   for (const endpoint& other : others) {
--- a/src/gateway/path_monitor.h
+++ b/src/gateway/path_monitor.h
@@ -29,9 +29,10 @@
   [[nodiscard]] static bool is_path_failure(const net::net_failure& failure);
   void record_failure(const servers::server_entry& server);
   void record_success(const servers::server_entry& server);
-  // Opens a connection to the server, and to a few others of its service unless it is accepted.
-  // \returns `refused` only if one of the others was reached, or if there are none: else it is this
-  // VM that is cut off.
+  // Opens a connection to the server and, if it is refused, to a few others of its service whose
+  // paths work as far as known.  \returns `refused` only if one of these is reached, if the
+  // service has no other server, or if this VM knows no other VM: else it may be this VM that is
+  // cut off.
   boost::asio::awaitable<net::connect_check> check_crash(servers::server_entry server);
   void update_gauges() const;
 
