--- a/review/lib/lab.py
+++ b/review/lib/lab.py
@@ -629,8 +629,8 @@
     def configure(self, version, routes, services, **more):
         self.store.put("op/config", {
             "Version": version, "Routes": routes, "Services": services,
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 10000,
-                       "IdleTimeoutMs": 60000},
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000,
+                       "IdleTimeoutMs": 15000},
             "Tenants": [{"Name": "zagreb", "ApiKeys": [KEY], "Priority": 1}], **more})
 
     def stop(self):
