--- a/review/lib/lab.py
+++ b/review/lib/lab.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -590,6 +591,8 @@
     """A small deployment."""
 
     def __init__(self, case_folder, zones=("zone-a",)):
+        # A case that is ended from outside ends its processes too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.record = Record(pathlib.Path(case_folder) / "record.txt")
         self.zones = list(zones)
