--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,8 +13,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BODY_BYTES = 4_000_000  # the configuration allows 4,194,304
 STABILITY_S = 3.0
-RUN_S = 30.0
-KEPT = 12
+RUN_S = 20.0
+KEPT = 12  # callers of each entry VM that read stations
 
 
 def receive(wire, count):
@@ -67,8 +67,10 @@
         readers.append(server)
     for number in range(2):
         server = l.Server(lab, "orders", f"i-order-{number}", accept_order, slots=32)
-        # Segments as long as on Ethernet, where loopback would have 64 KB.
+        # Segments as long as on Ethernet and a bounded window: loopback has segments of 64 KB and
+        # buffers that take megabytes at once.
         server.listener.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+        server.listener.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 200_000)
         server.register()
     lab.configure(1, [l.route("grit-order", "/orders/", "unsafe", "orders", 1, 1500, 500),
                       l.route("station-read", "/readings/", "safe", "dispecer", 2, 1500, 300)],
@@ -150,4 +152,5 @@
     except Exception as error:  # noqa: BLE001
         print(f"the case could not run: {error!r}")
         code = 2
+    sys.stdout.flush()
     os._exit(code)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -150,4 +150,5 @@
     except Exception as error:  # noqa: BLE001
         print(f"the case could not run: {error!r}")
         code = 2
+    sys.stdout.flush()
     os._exit(code)
