Record the versions in service for the fleet, so that an outage leaves them known

Cause: versions and origins of streams were written to the store only while a VM saw two versions. A process that starts after an outage in which the second version came read an empty prefix and took this for proof of one version.

Ruled out: a record that is there but read too late (would be known_by=record).

Change: one key for the fleet, hn/streams/fleet/versions, with the versions that each service had when they last changed; no lease, written by the first live VM of each failure domain with compare-and-swap, only when versions change. A process takes its versions for recent ones at its start. A VM first writes its own record where versions are mixed, so nothing leaves both. After a restore of the store the key is read and written again. Related: a VM's record kept the number of a lease over a restore of the store, where it may be another VM's; it is dropped now.

Why it works: the first process after the outage knows 2.0 from the record and 2.1 from the list, so the service is mixed and a take-up that nobody knows is refused as not run. A version that came and left while no VM ran began no stream.

The tests' store now honours conditions.

--- a/include/hawthornnotch/streams/version_history.h
+++ b/include/hawthornnotch/streams/version_history.h
@@ -19,6 +19,9 @@
 /// Versions by service.
 using version_sets = std::map<std::string, std::set<std::string>, std::less<>>;
 
+/// \returns the versions of the listed servers by service.
+[[nodiscard]] version_sets versions_of(std::span<const servers::server_entry> listed);
+
 /// Remembers each version until `max_stream_age` after its last server was listed: until then
 /// streams that it began may be resumed.
 ///
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -273,6 +273,9 @@
     if (registration_) {
       registration_->on_store_restored();
     }
+    if (stream_records_) {
+      stream_records_->on_store_restored();
+    }
   }
 
   void start_drain() {
--- a/src/gateway/stream_records.cpp
+++ b/src/gateway/stream_records.cpp
@@ -25,6 +25,8 @@
 /// A record holds no more streams than this, the last that began; a value in the store is limited.
 constexpr std::size_t max_recorded_streams = 8'000;
 constexpr std::chrono::milliseconds check_period{50};
+/// While nothing is to be read and versions are not mixed.
+constexpr std::chrono::milliseconds idle_check_period{500};
 constexpr duration min_call_interval{250};
 constexpr duration call_interval_per_vm{15};
 /// How long a request waits for the records.
@@ -39,25 +41,38 @@
       store_(store),
       executor_(executor),
       timer_(executor),
+      fleet_versions_(shared, store),
       started_at_(shared.time.now()) {}
 
-void stream_records::start() {
-  if (!scheduled_) {
-    scheduled_ = true;
-    schedule();
-  }
-}
-
 void stream_records::schedule() {
   timer_.expires_after(check_period);
   timer_.async_wait([this](const boost::system::error_code& error) {
-    scheduled_ = !error && update();
-    if (scheduled_) {
-      schedule();
+    if (!error) {
+      run();
     }
   });
 }
 
+void stream_records::run() {
+  timer_.expires_after(update() ? check_period : idle_check_period);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      run();
+    }
+  });
+}
+
+void stream_records::on_store_restored() {
+  fleet_versions_.on_store_restored();
+  drop_record();
+}
+
+void stream_records::drop_record() {
+  written_.clear();
+  written_versions_.clear();
+  lease_ = 0;
+}
+
 duration stream_records::call_interval() const {
   const auto vms = static_cast<std::int64_t>(shared_.peers.member_count());
   return std::max(min_call_interval, call_interval_per_vm * vms);
@@ -69,18 +84,24 @@
 
 bool stream_records::update() {
   const time_point now = shared_.time.now();
-  if (!history_known()) {
-    const bool due = !read_tried_at_ || now - *read_tried_at_ >= read_retry_period;
-    if (!reading_ && due) {
-      read();
-    }
-    return true;
+  const bool needs_reading = !history_known() || fleet_versions_.needs_reading();
+  const bool due = !read_tried_at_ || now - *read_tried_at_ >= read_retry_period;
+  if (needs_reading && !reading_ && due) {
+    read();
   }
+  const bool mixed = history_known() && update_own_record();
+  // Versions that have left stay in this VM's record before they leave the fleet's.
+  if (!mixed || written_versions_ == shared_.versions.mixed_services(now)) {
+    fleet_versions_.update();
+  }
+  return needs_reading || mixed;
+}
+
+bool stream_records::update_own_record() {
+  const time_point now = shared_.time.now();
   streams::version_sets mixed = shared_.versions.mixed_services(now);
   if (mixed.empty()) {
-    // The lease runs out by itself.
-    written_.clear();
-    lease_ = 0;
+    drop_record();
     return false;
   }
   if (!call_open_ && now - called_at_ >= call_interval()) {
@@ -91,9 +112,9 @@
 }
 
 void stream_records::update_record(streams::version_sets mixed) {
-  std::string value = compose(std::move(mixed));
+  std::string value = compose(mixed);
   if (lease_ == 0 || value != written_) {
-    write(std::move(value));
+    write(std::move(value), std::move(mixed));
   } else if (shared_.time.now() - renewed_at_ >= renewal_period) {
     renew();
   }
@@ -117,34 +138,41 @@
   return streams::encode(record);
 }
 
-void stream_records::write(std::string value) {
+void stream_records::write(std::string value, streams::version_sets versions) {
   call_open_ = true;
-  auto put_value = [this](std::string text, std::int64_t lease) {
-    platform::transaction change;
-    change.effects.emplace_back(platform::put{own_key(), text, lease});
-    store_.transact(std::move(change), [this, text, lease](auto outcome) {
-      if (!outcome) {
-        finish_write(failed{outcome.last_reason()});
-        return;
-      }
-      written_ = text;
-      lease_ = lease;
-      finish_write(ok);
-    });
-  };
   if (lease_ != 0) {
-    put_value(std::move(value), lease_);
+    put_record(std::move(value), std::move(versions), lease_);
     return;
   }
-  store_.grant_lease(lease_ttl, [this, put_value, value = std::move(value)](auto lease) {
+  restores_at_grant_ = shared_.era.restores();
+  store_.grant_lease(lease_ttl, [this, value = std::move(value), versions](auto lease) {
     if (lease) {
-      put_value(value, *lease);
+      put_record(value, versions, *lease);
     } else {
       finish_write(failed{lease.last_reason()});
     }
   });
 }
 
+void stream_records::put_record(std::string value, streams::version_sets versions,
+                                std::int64_t lease) {
+  platform::transaction change;
+  change.effects.emplace_back(platform::put{own_key(), value, lease});
+  store_.transact(std::move(change), [this, value, versions, lease](auto outcome) {
+    if (!outcome) {
+      finish_write(failed{outcome.last_reason()});
+      return;
+    }
+    // The number of a lease from before a restore may be another VM's now.
+    if (restores_at_grant_ == shared_.era.restores()) {
+      written_ = value;
+      written_versions_ = versions;
+      lease_ = lease;
+    }
+    finish_write(ok);
+  });
+}
+
 void stream_records::renew() {
   call_open_ = true;
   store_.keep_alive(lease_, [this](auto lease) {
@@ -193,31 +221,43 @@
     reading_ = false;
     if (answer) {
       store_streams_.on_success();
-      read_at_ = shared_.time.now();
       add_records(answer->found);
-      start();
+      read_at_ = shared_.time.now();
     } else {
       store_streams_.on_failure(to_string(answer.last_reason().kind));
     }
   });
 }
 
-// The streams of this VM's earlier process stay in its record.
 void stream_records::add_records(std::span<const platform::key_value> records) {
-  const time_point now = shared_.time.now();
+  const platform::key_value* of_fleet = nullptr;
   for (const platform::key_value& each : records) {
-    const auto record = streams::decode_stream_record(each.value);
-    if (!record) {
-      log_event(level::warning, "stream_record_unreadable", {{"key", each.key}});
-      continue;
-    }
-    const auto source =
-        each.key == own_key() ? streams::origin_source::own : streams::origin_source::peer;
-    shared_.versions.inherit(record->recent_versions, now);
-    for (const streams::stream_origin& stream : record->streams) {
-      shared_.origins.record(stream, source, now);
+    if (each.key == version_record::key()) {
+      of_fleet = &each;
+    } else {
+      add_record(each);
     }
   }
+  const streams::version_sets versions = fleet_versions_.on_read(of_fleet);
+  if (!read_at_) {
+    shared_.versions.inherit(versions, shared_.time.now());
+  }
+}
+
+// The streams of this VM's earlier process stay in its record.
+void stream_records::add_record(const platform::key_value& found) {
+  const time_point now = shared_.time.now();
+  const auto record = streams::decode_stream_record(found.value);
+  if (!record) {
+    log_event(level::warning, "stream_record_unreadable", {{"key", found.key}});
+    return;
+  }
+  const auto source =
+      found.key == own_key() ? streams::origin_source::own : streams::origin_source::peer;
+  shared_.versions.inherit(record->recent_versions, now);
+  for (const streams::stream_origin& stream : record->streams) {
+    shared_.origins.record(stream, source, now);
+  }
 }
 
 }  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/stream_records.h
+++ b/src/gateway/stream_records.h
@@ -13,13 +13,15 @@
 #include "hawthornnotch/platform/client.h"
 #include "hawthornnotch/streams/stream_record.h"
 #include "store_sync.h"
+#include "version_record.h"
 
 namespace hawthornnotch::gateway::internal {
 
 // While a service has more than one recent version, each VM writes its recent versions and the
 // origins of its unfinished streams under one key, with a lease that outlives these streams. So
-// they are known after a restart of the whole fleet; otherwise nothing is written. A process reads
-// the records when it starts, and when it is asked for a stream that no other VM knows.
+// they are known after a restart of the whole fleet; otherwise the record of versions alone is
+// kept, for all VMs together. A process reads the records when it starts, and when it is asked for
+// a stream that no other VM knows.
 //
 // Ownership: refers to the state and the store, which outlive it.  Thread safety: none.
 class stream_records {
@@ -27,10 +29,12 @@
   stream_records(gateway_state& shared, platform::key_value_store& store,
                  const boost::asio::any_io_executor& executor);
 
-  // Starts to read, and to write while versions are mixed.
-  void start();
-  // Starts to write, since versions are mixed now.
-  void on_versions_mixed() { start(); }
+  // Starts to read, and to write what changes.
+  void start() { schedule(); }
+  // Writes soon, since versions are mixed now.
+  void on_versions_mixed() { schedule(); }
+  // What was written may be gone, the lease too.
+  void on_store_restored();
   // Reads the records into the state, unless this was done a moment ago.
   boost::asio::awaitable<void> refresh();
   // \returns whether `gateway_state::versions` knows all recent versions: this process has read the
@@ -38,17 +42,26 @@
   [[nodiscard]] bool history_known() const;
 
  private:
+  // Runs after a short pause.
   void schedule();
-  // \returns whether there is more to read or to write.
+  // Updates now, and again after a pause.
+  void run();
+  // \returns whether the next update is due soon.
   bool update();
+  // \returns whether versions are mixed.
+  bool update_own_record();
   void update_record(streams::version_sets mixed);
+  // The lease runs out by itself, and its record with it.
+  void drop_record();
   // Called at the end of each call that writes.
   void finish_write(const status<platform::platform_failure>& outcome);
   [[nodiscard]] std::string compose(streams::version_sets mixed) const;
-  void write(std::string value);
+  void write(std::string value, streams::version_sets versions);
+  void put_record(std::string value, streams::version_sets versions, std::int64_t lease);
   void renew();
   void read();
   void add_records(std::span<const platform::key_value> records);
+  void add_record(const platform::key_value& found);
   // \returns the interval between writes, and between reads: in a large fleet each VM makes few
   // calls, so that all together stay within the store's rate.
   [[nodiscard]] duration call_interval() const;
@@ -58,11 +71,13 @@
   platform::key_value_store& store_;
   boost::asio::any_io_executor executor_;
   boost::asio::steady_timer timer_;
-  bool scheduled_ = false;
+  version_record fleet_versions_;
   time_point started_at_;
   // The record in the store, and its lease; empty and 0 while there is none.
   std::string written_;
+  streams::version_sets written_versions_;
   std::int64_t lease_ = 0;
+  std::uint64_t restores_at_grant_ = 0;
   time_point renewed_at_;
   time_point called_at_;
   bool call_open_ = false;
--- a/src/streams/version_history.cpp
+++ b/src/streams/version_history.cpp
@@ -4,12 +4,17 @@
 
 namespace hawthornnotch::streams {
 
-std::vector<std::string> version_history::observe(std::span<const servers::server_entry> listed,
-                                                  time_point now) {
-  version_sets present;
+version_sets versions_of(std::span<const servers::server_entry> listed) {
+  version_sets out;
   for (const servers::server_entry& entry : listed) {
-    present[entry.service].insert(entry.software_version);
+    out[entry.service].insert(entry.software_version);
   }
+  return out;
+}
+
+std::vector<std::string> version_history::observe(std::span<const servers::server_entry> listed,
+                                                  time_point now) {
+  const version_sets present = versions_of(listed);
   for (auto& [service, versions] : services_) {
     const auto here = present.find(service);
     for (auto& [version, seen] : versions) {
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -178,11 +178,33 @@
   return response;
 }
 
-// Ignores conditions, since no caller in these tests sets any.
+// \returns the items of the conditions in their present state; none if all conditions hold.
+std::optional<json::array> fake_store::conflicts_of(const json::array& conditions) const {
+  json::array items;
+  bool hold = true;
+  for (const json::value& each : conditions) {
+    const std::string key(each.at("Key").as_string());
+    const auto found = data_.items.find(key);
+    const std::int64_t revision = found == data_.items.end() ? 0 : found->second.revision;
+    hold = hold && revision == each.at("Revision").as_int64();
+    if (revision != 0) {
+      items.push_back(json::object{{"Key", key},
+                                   {"Value", platform::encode_base64(found->second.value)},
+                                   {"Revision", revision}});
+    }
+  }
+  return hold ? std::nullopt : std::optional(std::move(items));
+}
+
 http_response fake_store::transact(const http_request& request) {
   http_response response;
-  ++data_.revision;
   const json::value body = json::parse(request.body);
+  if (auto items = conflicts_of(body.at("Expect").as_array())) {
+    response.status = 412;
+    response.body = json::serialize(json::object{{"Items", std::move(*items)}});
+    return response;
+  }
+  ++data_.revision;
   for (const json::value& each : body.at("SetKeys").as_array()) {
     const std::int64_t lease = each.at("Lease").as_int64();
     if (lease != 0 && data_.leases.count(lease) == 0) {
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -83,10 +83,18 @@
   launch("entry-1", {});
 }
 
-void gateway_fixture::restart(std::vector<endpoint> seeds) {
+void gateway_fixture::stop() {
   gateway_->begin_stop();
   thread_.join();
   gateway_.reset();
+}
+
+void gateway_fixture::restart(std::vector<endpoint> seeds) {
+  stop();
+  start_again(std::move(seeds));
+}
+
+void gateway_fixture::start_again(std::vector<endpoint> seeds) {
   start_vm(vm_, std::move(seeds));
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/json/array.hpp>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -100,6 +101,8 @@
   http_response answer(const http_request& request);
   http_response write(const http_request& request);
   http_response transact(const http_request& request);
+  [[nodiscard]] std::optional<boost::json::array> conflicts_of(
+      const boost::json::array& conditions) const;
   http_response read(const http_request& request);
   http_response changes_after(const std::string& prefix, std::int64_t after);
   void add_era_header(http_response& response);
@@ -198,8 +201,12 @@
   void start(std::vector<endpoint> seeds = {});
   // As `start`, under a VM name of its own, for fleets of more than two.
   void start_vm(std::string vm, std::vector<endpoint> seeds);
+  // Ends the process.
+  void stop();
   // Ends the process and starts a new one without any state under the same VM name.
   void restart(std::vector<endpoint> seeds = {});
+  // Starts a process without any state under the same VM name after `stop`.
+  void start_again(std::vector<endpoint> seeds = {});
   // Starts the gateway while the store is unavailable; requests wait for the store.
   void start_without_store();
   // Starts the gateway with an empty retry budget and waits until it is ready.
--- a/tests/gateway/joined_versions_test.cpp
+++ b/tests/gateway/joined_versions_test.cpp
@@ -54,6 +54,8 @@
 constexpr milliseconds old_list_age{4'500};
 // Time after which the platform's store holds the origins of streams.
 constexpr milliseconds record_writing_time{1'500};
+// Time after which it holds the versions that serve.
+constexpr milliseconds version_recording_time{4'000};
 
 // A server of another version starts while the stream runs, and the stream's own server fails.
 TEST_THAT(resumed_stream, goes_on_at_its_version_within_one_answer) {
@@ -281,5 +283,74 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fresh));
 }
 
+// Guards against streams that go on at another version because it came while no entry VM ran (review
+// case 2): no record of a stream proves nothing about the versions before the outage.
+TEST_THAT(resumed_stream, is_refused_if_its_version_left_while_no_entry_vm_ran) {
+  gateway_fixture fixture;
+  fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
+  fixture.start_without_retries();
+  std::ignore = fixture.call(make_stream("a"));
+  std::this_thread::sleep_for(version_recording_time);
+  fixture.stop();
+  fixture.store().erase("servers/" + old_server.id());
+  fake_server& fresh = add_versioned(fixture, "new", "v2", stream_four);
+  fixture.start_again();
+  const auto answer = fixture.call(make_resumption("b", "a"));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fresh));
+}
+
+// Versions that came and left while no entry VM ran began no stream.
+TEST_THAT(resumed_stream, goes_on_after_an_outage_of_all_if_its_version_serves_alone_again) {
+  gateway_fixture fixture;
+  fake_server& server = add_versioned(fixture, "s1", "v1", stream_two_and_abort);
+  fixture.start_without_retries();
+  std::ignore = fixture.call(make_stream("a"));
+  std::this_thread::sleep_for(version_recording_time);
+  fixture.restart();
+  std::ignore = fixture.call(make_resumption("b", "a"));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resumptions_at(server));
+}
+
+// The record of versions survives outages of all entry VMs in a row, in which the versions change.
+TEST_THAT(resumed_stream, is_refused_if_its_version_left_before_the_first_of_two_outages) {
+  gateway_fixture fixture;
+  fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
+  fixture.start_without_retries();
+  std::ignore = fixture.call(make_stream("a"));
+  std::this_thread::sleep_for(version_recording_time);
+  fixture.stop();
+  fixture.store().erase("servers/" + old_server.id());
+  fake_server& fresh = add_versioned(fixture, "new", "v2", stream_four);
+  fixture.start_again();
+  std::this_thread::sleep_for(version_recording_time);
+  fixture.restart();
+  const auto answer = fixture.call(make_resumption("b", "a"));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fresh));
+}
+
+// The store goes back to a copy from before the record of versions, and the VMs write it again.
+TEST_THAT(resumed_stream, is_refused_if_its_version_left_in_an_outage_after_a_restore_of_the_store) {
+  gateway_fixture fixture;
+  fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
+  const fake_store::snapshot before = fixture.store().take_snapshot();
+  fixture.start_without_retries();
+  std::ignore = fixture.call(make_stream("a"));
+  std::this_thread::sleep_for(version_recording_time);
+  fixture.store().restore(before);
+  std::this_thread::sleep_for(version_recording_time);
+  fixture.stop();
+  fixture.store().erase("servers/" + old_server.id());
+  fake_server& fresh = add_versioned(fixture, "new", "v2", stream_four);
+  fixture.start_again();
+  const auto answer = fixture.call(make_resumption("b", "a"));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fresh));
+}
+
 }  // namespace
 }  // namespace hawthornnotch::test
