Let the write of a request hold its stream, since it may end after the exchange

Cause: exchange::send starts the write of the request without awaiting it; its completion handler held the message but not the stream, which ~exchange freed. An operation that is aborted leaves the stream alone, but one whose last part was written, and whose completion was queued, went on on it.

Ruled out: the message (held by the handler), two writes on a kept connection (the test opens a new one for each request).

Change and why it works: the handler holds the stream too, so the operation has what it uses until it has ended; an exchange whose write has not ended closes the connection, which ends the write and, as before, is never used again.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -50,7 +50,7 @@
   return duration{seconds * ms_per_second};
 }
 
-// A request being sent. Outlives the exchange, since a pending write may still read it.
+// A request being sent.
 struct outgoing_request {
   request_message message;
   bool done = false;
@@ -100,11 +100,11 @@
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     if (limits_.reuse_connection) {
       if (auto idle = pool_->take(to_, executor, limits_.request_tag)) {
-        stream_ = std::make_unique<beast::tcp_stream>(std::move(*idle));
+        stream_ = std::make_shared<beast::tcp_stream>(std::move(*idle));
         co_return ok;
       }
     }
-    stream_ = std::make_unique<beast::tcp_stream>(executor);
+    stream_ = std::make_shared<beast::tcp_stream>(executor);
     error_code error;
     const auto address = asio::ip::make_address(to_.address, error);
     if (error) {
@@ -126,7 +126,8 @@
   }
 
   // Starts sending the request. The response is read concurrently, since a server may respond
-  // before it has read a long body.
+  // before it has read a long body. The write holds the stream and the request, since it may end
+  // after the exchange.
   status<net_failure> send(http_request request) {
     if (is_cancelled() || (limits_.may_send && !limits_.may_send())) {
       return failed{net_failure{net_failure_kind::cancelled, false}};
@@ -136,11 +137,12 @@
     sent_at_ = std::chrono::steady_clock::now();
     deadline_ = sent_at_ + to_chrono(limits_.head_timeout);
     stream_->expires_at(deadline_);
-    http::async_write(*stream_, outgoing_->message,
-                      [sent = outgoing_](const error_code& error, std::size_t /*count*/) {
-                        sent->done = true;
-                        sent->complete = !error;
-                      });
+    http::async_write(
+        *stream_, outgoing_->message,
+        [stream = stream_, sent = outgoing_](const error_code& error, std::size_t /*count*/) {
+          sent->done = true;
+          sent->complete = !error;
+        });
     return ok;
   }
 
@@ -229,11 +231,7 @@
 
   void cancel() override {
     cancelled_ = true;
-    if (stream_) {
-      stream_->cancel();
-      error_code ignored;
-      stream_->socket().close(ignored);
-    }
+    close();
   }
 
  private:
@@ -241,6 +239,15 @@
     return cancelled_ || (limits_.cancellation && limits_.cancellation->cancelled());
   }
 
+  // Closes the connection; a pending write ends.
+  void close() {
+    if (stream_) {
+      stream_->cancel();
+      error_code ignored;
+      stream_->socket().close(ignored);
+    }
+  }
+
   // Returns the connection to the pool only if the request was sent and its response read, both
   // completely. After responses to other requests only, its own may still arrive at any time.
   void release_connection() {
@@ -248,6 +255,7 @@
     const bool complete =
         has_expected_head_ && parser_ && parser_->is_done() && buffer_.size() == 0;
     if (!sent || !complete || cancelled_ || !parser_->keep_alive()) {
+      close();
       return;
     }
     stream_->expires_never();
@@ -259,7 +267,7 @@
   std::shared_ptr<connection_pool> pool_;
   endpoint to_;
   exchange_limits limits_;
-  std::unique_ptr<beast::tcp_stream> stream_;
+  std::shared_ptr<beast::tcp_stream> stream_;
   beast::flat_buffer buffer_{max_unparsed_bytes};
   std::optional<response_parser> parser_;
   std::shared_ptr<outgoing_request> outgoing_;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -7,8 +7,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
+#include <string>
 #include <thread>
 #include <tuple>
+#include <vector>
 
 #include "hawthornnotch/net/http_client.h"
 #include "hawthornnotch/net/http_server.h"
@@ -306,6 +309,46 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections());
 }
 
+constexpr std::size_t long_body_bytes = 4'000'000;
+
+asio::awaitable<std::size_t> fetch_repeatedly(http_client& client, endpoint to, int requests) {
+  std::size_t answered = 0;
+  for (int number = 0; number < requests; ++number) {
+    http_request request = post(std::string(long_body_bytes, 'x'));
+    exchange_limits limits;
+    limits.reuse_connection = false;
+    const auto answer = co_await client.fetch(to, std::move(request), limits);
+    answered += answer && answer->body == "ok" ? 1 : 0;
+  }
+  co_return answered;
+}
+
+// Guards against the end of the process where a server answers before it has read a long body and
+// reads on (review case 1): the write of the body used its stream after the exchange had ended.
+TEST_THAT(http_client, survives_an_answer_that_comes_before_the_body_is_sent) {
+  test::raw_server server(
+      [](test::raw_connection& peer) {
+        if (!peer.read_head().empty()) {
+          peer.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+          peer.discard_until_closed();
+        }
+      },
+      test::raw_server::window::small);
+  constexpr int callers = 4;
+  constexpr int requests = 40;
+  running_context running;
+  auto client = http_client::create(4);
+  std::vector<std::future<std::size_t>> answered;
+  for (int caller = 0; caller < callers; ++caller) {
+    answered.push_back(asio::co_spawn(asio::make_strand(running.executor()),
+                                      fetch_repeatedly(*client, server.address(), requests),
+                                      asio::use_future));
+  }
+  for (auto& each : answered) {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{requests}, each.get());
+  }
+}
+
 // Sends a chunk extension that never ends.
 TEST_THAT(http_server, buffers_little_of_an_endless_request) {
   running_context running;
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -1,5 +1,6 @@
 #include "raw_server.h"
 
+#include <netinet/tcp.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -66,6 +67,15 @@
   return false;
 }
 
+void raw_connection::discard_until_closed() {
+  constexpr std::size_t block_bytes = 64 * 1024;
+  std::string block(block_bytes, '\0');
+  error_code error;
+  while (!error) {
+    socket_.read_some(asio::buffer(block), error);
+  }
+}
+
 void raw_connection::reset() {
   boost::system::error_code ignored;
   socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
@@ -86,10 +96,23 @@
   return head.substr(from, head.find("\r\n", from) - from);
 }
 
-raw_server::raw_server(script on_connection)
+raw_server::raw_server(script on_connection, window receives)
     : script_(std::move(on_connection)),
-      acceptor_(context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      accepting_([this] { accept(); }) {}
+      acceptor_(context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+  if (receives == window::small) {
+    bound_receive_window();
+  }
+  accepting_ = std::thread([this] { accept(); });
+}
+
+// Accepted connections inherit both options.
+void raw_server::bound_receive_window() {
+  using max_segment = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>;
+  constexpr int segment_bytes = 1448;
+  constexpr int window_bytes = 200'000;
+  acceptor_.set_option(max_segment(segment_bytes));
+  acceptor_.set_option(asio::socket_base::receive_buffer_size(window_bytes));
+}
 
 raw_server::~raw_server() {
   stopping_ = true;
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -33,6 +33,8 @@
   // Writes the bytes every 20 ms until the peer closes or 400 writes were made (about 8 s).
   // \returns whether the peer closed.
   bool trickle_until_closed(std::string_view bytes);
+  // Reads and drops what the peer sends, until it closes.
+  void discard_until_closed();
   void close();
   // Closes with a TCP reset.
   void reset();
@@ -50,7 +52,13 @@
 class raw_server {
  public:
   using script = std::function<void(raw_connection&)>;
-  explicit raw_server(script on_connection);
+  // What the servers' kernel takes before a peer's write blocks.
+  enum class window : std::uint8_t {
+    as_on_loopback,
+    // As on a network: short segments, and a bounded receive window.
+    small,
+  };
+  explicit raw_server(script on_connection, window receives = window::as_on_loopback);
   ~raw_server();
   raw_server(const raw_server&) = delete;
   raw_server& operator=(const raw_server&) = delete;
@@ -59,6 +67,7 @@
 
  private:
   void accept();
+  void bound_receive_window();
 
   script script_;
   boost::asio::io_context context_;
