Resume streams of a lost entry VM at the version that served alone before a release

Cause: origins are told to other VMs only once versions are mixed, by the VM that knows them. A VM that stops before has told nobody, and the absence of a record was taken for ignorance.

Evidence: resumed_stream::goes_on_if_its_entry_vm_froze_before_a_release answers 503 on the code before, though the third VM answered. Ruled out: that keepers were told and not asked (goes_on_at_its_version_at_another_entry_vm passed before).

Change: a stream of another version than the one that served alone before the release (the base version) begins only once two of its three keepers know of it, for at most 100 ms. An unknown stream goes on at the base version if two of the three, with the same base, do not know it. Two of three that were told and two of three that do not know share one, so a stream of the new version is found at any moment at which its VM is lost; on the code before goes_on_at_the_new_version_if_its_entry_vm_freezes_after_the_first_event answered 503. A process that started after versions were mixed has no base version, and one that dropped origins names none. The base version goes in a header of the answer, which the build before ignores; its answers lack it and are not counted.

--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -36,6 +36,14 @@
   duration work_max_age{3'000};
 };
 
+/// VMs that are told of something under one key.
+struct keeper_set {
+  /// The keepers other than this VM.
+  std::vector<endpoint> peers;
+  bool includes_this_vm = false;
+  [[nodiscard]] std::size_t size() const { return peers.size() + (includes_this_vm ? 1 : 0); }
+};
+
 /// Peers that became alive or dead since the last call of `take_changes`.
 struct peer_changes {
   std::vector<std::string> found;
@@ -94,9 +102,9 @@
   /// \returns when a peer was last found ended, restarted, leaving or out of reach, by
   /// `take_changes` or an exchange: its callers may have come to this VM; none so far.
   [[nodiscard]] std::optional<time_point> disrupted_at() const { return disrupted_at_; }
-  /// \returns the addresses of the first `count` of all remembered VMs in the rendezvous order of
-  /// `key`, without this one; all VMs with the same peers compute the same order.
-  [[nodiscard]] std::vector<endpoint> keepers_of(std::uint64_t key, std::size_t count) const;
+  /// \returns the first `count` of all remembered VMs in the rendezvous order of `key`; all VMs
+  /// with the same peers compute the same order.
+  [[nodiscard]] keeper_set keepers_of(std::uint64_t key, std::size_t count) const;
   /// \returns the peers that became alive or dead since the last call.
   [[nodiscard]] peer_changes take_changes(time_point now);
   /// \returns the rank of this entry VM in the order in which live VMs read the store.
--- a/include/hawthornnotch/streams/origin_table.h
+++ b/include/hawthornnotch/streams/origin_table.h
@@ -44,6 +44,10 @@
 
   void record(const stream_origin& origin, origin_source source, time_point now);
   [[nodiscard]] std::optional<stream_origin> find(const stream_key& key, time_point now) const;
+  /// \returns whether each origin that was recorded and is not too old can be found.
+  [[nodiscard]] bool is_complete(time_point now) const {
+    return !dropped_at_ || now - *dropped_at_ > max_stream_age;
+  }
   /// Records that a stream was delivered whole: nobody will resume it.
   void finish(const stream_key& key);
   /// \returns the origins of the unfinished streams of a service that began on this VM.
@@ -62,6 +66,8 @@
   void drop_expired(time_point now);
 
   origin_table_settings settings_;
+  /// When an origin was last dropped for want of room.
+  std::optional<time_point> dropped_at_;
   std::map<stream_key, known_origin> origins_;
   /// By workspace, in the order in which they were recorded.
   std::map<std::string, std::deque<stream_key>, std::less<>> order_;
--- a/include/hawthornnotch/streams/version_history.h
+++ b/include/hawthornnotch/streams/version_history.h
@@ -25,7 +25,10 @@
 /// Remembers each version until `max_stream_age` after its last server was listed: until then
 /// streams that it began may be resumed.
 ///
-/// A process knows what was listed before its start only from another's record (`inherit`).
+/// A process knows what was listed before its start only from records (`inherit`, `complete`).
+///
+/// The base version of a service is the one that served alone before versions were mixed: streams
+/// that began before are of this version, whoever began them.
 ///
 /// Example:
 ///     history.observe(entries, now);
@@ -38,6 +41,14 @@
   std::vector<std::string> observe(std::span<const servers::server_entry> listed, time_point now);
   /// Adds versions that had served by another process's record, as if removed now.
   void inherit(const version_sets& recorded, time_point now);
+  /// Records that all versions are known that have served before the process started.  Does nothing
+  /// the second time.
+  /// \param sole versions of services that had only one at the end of their last process; these are
+  /// their bases.
+  void complete(const version_sets& sole, time_point now);
+  /// \returns the version that serves alone, or did before versions were mixed; none if it is
+  /// unknown.
+  [[nodiscard]] std::optional<std::string> base(std::string_view service) const;
   /// \returns the versions whose streams may still be resumed.
   [[nodiscard]] std::set<std::string> recent(std::string_view service, time_point now) const;
   [[nodiscard]] bool is_mixed(std::string_view service, time_point now) const {
@@ -55,7 +66,12 @@
   [[nodiscard]] static std::set<std::string> recent_of(const seen_versions& versions,
                                                        time_point now);
 
+  /// Takes the version of each service that has a single one for its base.
+  void update_bases(time_point now);
+
   std::map<std::string, seen_versions, std::less<>> services_;
+  std::map<std::string, std::string, std::less<>> bases_;
+  bool complete_ = false;
 };
 
 }  // namespace hawthornnotch::streams
--- a/src/gateway/origin_link.cpp
+++ b/src/gateway/origin_link.cpp
@@ -1,10 +1,13 @@
 #include "origin_link.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
 #include <chrono>
+#include <map>
 #include <tuple>
 #include <utility>
 
@@ -28,53 +31,103 @@
 constexpr duration total_timeout{500};
 constexpr duration tcp_user_timeout{500};
 constexpr std::uint64_t max_message_bytes = 4 * 1024 * 1024;
+/// How long the first event of a stream waits for its keepers.
+constexpr std::chrono::milliseconds max_begin_wait{100};
+/// A header, since VMs of an earlier release refuse a message with a field that they do not know.
+constexpr std::string_view base_hash_header = "Hawthornnotch-Base-Version";
 
 std::uint64_t placement_of(const streams::stream_key& key) {
   return stable_hash(key.attempt, stable_hash(key.workspace));
 }
 
+// \returns how many keepers must know of a stream before it begins at another version than the base
+// one.  Together with `answers_needed` these are more than there are keepers.
+std::size_t copies_needed(const relay::keeper_set& keepers) {
+  return std::min<std::size_t>(keepers.size(), 2);
+}
+
+// \returns how many keepers must not know of a stream to prove that it began at the base version.
+std::size_t answers_needed(const relay::keeper_set& keepers) {
+  return keepers.size() - copies_needed(keepers) + 1;
+}
+
+std::optional<std::uint64_t> parse_hash(std::optional<std::string_view> text) {
+  std::uint64_t hash = 0;
+  if (!text) {
+    return std::nullopt;
+  }
+  const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), hash);
+  return error == std::errc() ? std::optional(hash) : std::nullopt;
+}
+
 }  // namespace
 
+// The keepers of a stream that know of it.
+struct origin_link::delivery {
+  delivery(const relay::keeper_set& keepers, const asio::any_io_executor& executor)
+      : copies(keepers.includes_this_vm ? 1 : 0),
+        needed(copies_needed(keepers)),
+        open(keepers.peers.size()),
+        settled(executor) {}
+  [[nodiscard]] bool is_settled() const { return copies >= needed || open == 0; }
+  std::size_t copies;
+  std::size_t needed;
+  std::size_t open;
+  asio::steady_timer settled;
+};
+
 // A question that is put to several VMs; the first that knows answers it.
 struct origin_link::inquiry {
   inquiry(streams::stream_key what, const asio::any_io_executor& executor)
       : key(std::move(what)), answered(executor) {}
   streams::stream_key key;
   std::optional<streams::stream_origin> found;
+  relay::keeper_set keepers;
   std::size_t open = 0;
   bool all_answered = true;
+  // By the hash of the base version, the keepers that named it and do not know the stream.
+  std::map<std::uint64_t, std::size_t> bases;
   asio::steady_timer answered;
 };
 
 origin_link::origin_link(gateway_state& shared, asio::any_io_executor executor)
     : shared_(shared), executor_(executor), flush_timer_(executor) {}
 
-void origin_link::on_stream_begun(const streams::stream_origin& origin) {
+asio::awaitable<void> origin_link::begin_stream(streams::stream_origin origin) {
   const time_point now = shared_.time.now();
   shared_.origins.record(origin, streams::origin_source::own, now);
-  if (shared_.versions.is_mixed(origin.key.service, now)) {
-    tell(origin);
+  const bool at_base = shared_.versions.base(origin.key.service) == origin.software_version;
+  if (at_base && !shared_.versions.is_mixed(origin.key.service, now)) {
+    co_return;
   }
+  const std::shared_ptr<delivery> progress = tell(origin);
+  if (at_base || progress->is_settled()) {
+    co_return;
+  }
+  progress->settled.expires_after(max_begin_wait);
+  co_await progress->settled.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
 void origin_link::on_versions_mixed(std::span<const std::string> services) {
   for (const std::string& service : services) {
     for (const streams::stream_origin& each :
          shared_.origins.own_streams(service, shared_.time.now())) {
-      tell(each);
+      std::ignore = tell(each);
     }
   }
 }
 
-void origin_link::tell(const streams::stream_origin& origin) {
-  for (const endpoint& keeper :
-       shared_.peers.keepers_of(placement_of(origin.key), keepers_per_stream)) {
-    auto& [address, origins] = waiting_[to_text(keeper)];
-    address = keeper;
-    origins.push_back(origin);
+std::shared_ptr<origin_link::delivery> origin_link::tell(const streams::stream_origin& origin) {
+  const relay::keeper_set keepers =
+      shared_.peers.keepers_of(placement_of(origin.key), keepers_per_stream);
+  auto progress = std::make_shared<delivery>(keepers, executor_);
+  for (const endpoint& keeper : keepers.peers) {
+    batch& waiting = waiting_[to_text(keeper)];
+    waiting.keeper = keeper;
+    waiting.origins.push_back({origin, progress});
   }
-  if (flush_pending_) {
-    return;
+  if (flush_pending_ || keepers.peers.empty()) {
+    return progress;
   }
   flush_pending_ = true;
   flush_timer_.expires_after(flush_delay);
@@ -83,36 +136,47 @@
       flush();
     }
   });
+  return progress;
 }
 
 void origin_link::flush() {
   flush_pending_ = false;
-  for (auto& [name, batch] : std::exchange(waiting_, {})) {
-    asio::co_spawn(executor_, send_origins(batch.first, std::move(batch.second)), asio::detached);
+  for (auto& [name, waiting] : std::exchange(waiting_, {})) {
+    asio::co_spawn(executor_, send_origins(std::move(waiting)), asio::detached);
   }
 }
 
-asio::awaitable<void> origin_link::send_origins(endpoint to,
-                                                std::vector<streams::stream_origin> what) {
+asio::awaitable<void> origin_link::send_origins(batch what) {
   streams::origin_message message;
-  message.origins = std::move(what);
-  const auto answer = co_await exchange(to, message);
+  for (const untold_origin& each : what.origins) {
+    message.origins.push_back(each.origin);
+  }
+  const auto answer = co_await exchange(what.keeper, message);
   if (!answer) {
     // The store's record and the other keepers remain.
     shared_.metrics->count("hawthornnotch_origins_untold_total", {});
     observe::log_event(observe::level::debug, "origins_untold",
-                       {{"peer", to.address}, {"origins", message.origins.size()}});
+                       {{"peer", what.keeper.address}, {"origins", message.origins.size()}});
+  }
+  for (const untold_origin& each : what.origins) {
+    delivery& progress = *each.progress;
+    --progress.open;
+    progress.copies += answer ? 1 : 0;
+    if (progress.is_settled()) {
+      progress.settled.cancel();
+    }
   }
 }
 
 asio::awaitable<origin_link::search_result> origin_link::find(streams::stream_key key) {
   auto known = shared_.origins.find(key, shared_.time.now());
   if (known || key.attempt.empty()) {
-    co_return search_result{std::move(known), false};
+    co_return search_result{std::move(known), false, std::nullopt};
   }
   const auto question = std::make_shared<inquiry>(key, executor_);
   question->answered.expires_at(std::chrono::steady_clock::time_point::max());
-  for (const endpoint& keeper : shared_.peers.keepers_of(placement_of(key), keepers_per_stream)) {
+  question->keepers = shared_.peers.keepers_of(placement_of(key), keepers_per_stream);
+  for (const endpoint& keeper : question->keepers.peers) {
     ++question->open;
     asio::co_spawn(executor_, ask(keeper, question), asio::detached);
   }
@@ -123,7 +187,28 @@
   if (question->found) {
     shared_.origins.record(*question->found, streams::origin_source::peer, shared_.time.now());
   }
-  co_return search_result{question->found, asked && question->all_answered};
+  co_return search_result{question->found, asked && question->all_answered, agreed_base(*question)};
+}
+
+std::optional<std::string> origin_link::kept_base(std::string_view service) const {
+  return shared_.origins.is_complete(shared_.time.now()) ? shared_.versions.base(service)
+                                                         : std::nullopt;
+}
+
+// A VM that is cut off from all others can't know what they began.
+std::optional<std::string> origin_link::agreed_base(const inquiry& answered) const {
+  const std::string& service = answered.key.service;
+  const std::optional<std::string> own =
+      answered.keepers.includes_this_vm ? kept_base(service) : std::nullopt;
+  for (const std::string& version : shared_.versions.recent(service, shared_.time.now())) {
+    const auto named = answered.bases.find(stable_hash(version));
+    const std::size_t by_peers = named == answered.bases.end() ? 0 : named->second;
+    const std::size_t by_all = by_peers + (own == version ? 1 : 0);
+    if (by_peers > 0 && by_all >= answers_needed(answered.keepers)) {
+      return version;
+    }
+  }
+  return std::nullopt;
 }
 
 asio::awaitable<void> origin_link::ask(endpoint to, std::shared_ptr<inquiry> about) {
@@ -132,15 +217,18 @@
   const auto answer = co_await exchange(to, message);
   --about->open;
   about->all_answered = about->all_answered && answer.has_value();
-  if (answer && !answer->origins.empty() && answer->origins.front().key == about->key) {
-    about->found = answer->origins.front();
+  const auto* origins = answer ? &answer->message.origins : nullptr;
+  if (origins != nullptr && !origins->empty() && origins->front().key == about->key) {
+    about->found = origins->front();
+  } else if (answer && answer->base_hash) {
+    ++about->bases[*answer->base_hash];
   }
   if (about->found || about->open == 0) {
     about->answered.cancel();
   }
 }
 
-asio::awaitable<std::optional<streams::origin_message>> origin_link::exchange(
+asio::awaitable<std::optional<origin_link::peer_answer>> origin_link::exchange(
     const endpoint& to, const streams::origin_message& message) {
   net::http_request request;
   request.method = "POST";
@@ -163,7 +251,7 @@
     observe::log_event(observe::level::debug, "origins_unreadable", {{"peer", to.address}});
     co_return std::nullopt;
   }
-  co_return std::move(*answer);
+  co_return peer_answer{std::move(*answer), parse_hash(response->header(base_hash_header))};
 }
 
 bool origin_link::is_for_origins(const net::http_request& request) {
@@ -187,6 +275,11 @@
       }
     }
     response.body = streams::encode(answer);
+    const auto base =
+        message->questions.empty() ? std::nullopt : kept_base(message->questions.front().service);
+    if (base) {
+      response.headers.emplace_back(base_hash_header, std::to_string(stable_hash(*base)));
+    }
   }
   std::ignore = co_await writer.send(std::move(response));
 }
--- a/src/gateway/origin_link.h
+++ b/src/gateway/origin_link.h
@@ -23,13 +23,19 @@
 // all VMs for the stream's id. Any VM can find them to ask. Otherwise nothing is sent; once a
 // second version appears, the origins of the streams that have begun are told.
 //
+// The VM of a stream may be lost before it tells. So a stream at another version than the base one
+// begins only once all but one of its keepers know of it, and one that all but one of them do not
+// know began at the base version. See docs/design/0014-resumed-streams.md.
+//
 // Ownership: refers to the state, which outlives it.  Thread safety: none.
 class origin_link {
  public:
   origin_link(gateway_state& shared, boost::asio::any_io_executor executor);
 
-  // Records that a stream of this VM began.
-  void on_stream_begun(const streams::stream_origin& origin);
+  // Records that a stream of this VM is about to begin, before its caller gets the first event. One
+  // that does not begin at the base version of its service waits until most of its keepers know of
+  // it, for a short time.
+  boost::asio::awaitable<void> begin_stream(streams::stream_origin origin);
   // Tells the origins of all streams that this VM began, once a service is mixed.
   void on_versions_mixed(std::span<const std::string> services);
   struct search_result {
@@ -37,6 +43,9 @@
     // Whether there are keepers and every one was reached: then no VM that is in touch with them
     // began the stream at a version that this one does not know.
     bool peers_answered = false;
+    // The base version of the service, if so many keepers know none of the stream that it can have
+    // begun at no other.
+    std::optional<std::string> base;
   };
   // Asks the stream's keepers if this VM does not know its origin, for a short time.
   boost::asio::awaitable<search_result> find(streams::stream_key key);
@@ -47,19 +56,40 @@
 
  private:
   struct inquiry;
-  void tell(const streams::stream_origin& origin);
+  struct delivery;
+  // An origin on its way to a keeper.
+  struct untold_origin {
+    streams::stream_origin origin;
+    std::shared_ptr<delivery> progress;
+  };
+  struct batch {
+    endpoint keeper;
+    std::vector<untold_origin> origins;
+  };
+  // What another VM answers.
+  struct peer_answer {
+    streams::origin_message message;
+    // Hash of the base version of the service that was asked for.
+    std::optional<std::uint64_t> base_hash;
+  };
+  // \returns the progress at the keepers.
+  std::shared_ptr<delivery> tell(const streams::stream_origin& origin);
   void flush();
-  boost::asio::awaitable<void> send_origins(endpoint to, std::vector<streams::stream_origin> what);
+  boost::asio::awaitable<void> send_origins(batch what);
   boost::asio::awaitable<void> ask(endpoint to, std::shared_ptr<inquiry> about);
-  boost::asio::awaitable<std::optional<streams::origin_message>> exchange(
+  boost::asio::awaitable<std::optional<peer_answer>> exchange(
       const endpoint& to, const streams::origin_message& message);
+  // \returns the base version of the service, if this VM would know of each stream that it keeps.
+  [[nodiscard]] std::optional<std::string> kept_base(std::string_view service) const;
+  // \returns the base version that enough of the keepers name.
+  [[nodiscard]] std::optional<std::string> agreed_base(const inquiry& answered) const;
 
   gateway_state& shared_;
   boost::asio::any_io_executor executor_;
   boost::asio::steady_timer flush_timer_;
   bool flush_pending_ = false;
   // Not sent yet, by keeper.
-  std::map<std::string, std::pair<endpoint, std::vector<streams::stream_origin>>> waiting_;
+  std::map<std::string, batch> waiting_;
 };
 
 }  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -84,7 +84,7 @@
   [[nodiscard]] std::optional<std::string> only_version(bool complete) const;
   void log_resumption(std::string_view known_by, duration age) const;
   // Called before the first event of the response is forwarded.
-  void on_stream_begun();
+  boost::asio::awaitable<void> on_stream_begun();
   // Called after the whole response was forwarded.
   void on_stream_finished();
   [[nodiscard]] bool is_retryable() const;
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -287,13 +287,13 @@
 
 asio::awaitable<bool> proxied_request::forward_events(const net::http_response& head,
                                                       const event_batch& batch) {
+  if (batch.count > 0) {
+    co_await on_stream_begun();
+  }
   const bool started = co_await start_response(head);
   if (!started) {
     co_return false;
   }
-  if (batch.count > 0) {
-    on_stream_begun();
-  }
   events_ += batch.count;
   const bool written = co_await write_body(batch.text);
   co_return written;
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -55,6 +55,11 @@
     log_resumption("only_version", duration{-1});
     co_return true;
   }
+  required_version_ = std::move(search.base);
+  if (required_version_) {
+    log_resumption("base_version", duration{-1});
+    co_return true;
+  }
   const std::set<std::string> recent = shared_.versions.recent(service_, shared_.time.now());
   log_event(level::info, "resume_refused",
             {{"request_id", request_.id},
@@ -78,14 +83,14 @@
 }
 
 // The version is that of the server that answered: any other server rejects the request.
-void proxied_request::on_stream_begun() {
+asio::awaitable<void> proxied_request::on_stream_begun() {
   if (required_version_) {
-    return;
+    co_return;
   }
   required_version_ = placement_.server.software_version;
   if (is_resumable()) {
-    resumption_.origins.on_stream_begun(
-        {stream_key_of(request_.id), placement_.server.software_version, duration{0}});
+    streams::stream_origin origin{stream_key_of(request_.id), *required_version_, duration{0}};
+    co_await resumption_.origins.begin_stream(std::move(origin));
   }
 }
 
--- a/src/gateway/stream_records.cpp
+++ b/src/gateway/stream_records.cpp
@@ -89,6 +89,9 @@
   if (needs_reading && !reading_ && due) {
     read();
   }
+  if (history_known()) {
+    shared_.versions.complete({}, now);
+  }
   const bool mixed = history_known() && update_own_record();
   // Versions that have left stay in this VM's record before they leave the fleet's.
   if (!mixed || written_versions_ == shared_.versions.mixed_services(now)) {
@@ -231,26 +234,31 @@
 
 void stream_records::add_records(std::span<const platform::key_value> records) {
   const platform::key_value* of_fleet = nullptr;
+  streams::version_sets mixed;
   for (const platform::key_value& each : records) {
     if (each.key == version_record::key()) {
       of_fleet = &each;
     } else {
-      add_record(each);
+      mixed.merge(add_record(each));
     }
   }
-  const streams::version_sets versions = fleet_versions_.on_read(of_fleet);
-  if (!read_at_) {
-    shared_.versions.inherit(versions, shared_.time.now());
+  streams::version_sets in_service = fleet_versions_.on_read(of_fleet);
+  if (read_at_) {
+    return;
   }
+  const time_point now = shared_.time.now();
+  shared_.versions.inherit(in_service, now);
+  std::erase_if(in_service, [&](const auto& each) { return mixed.contains(each.first); });
+  shared_.versions.complete(in_service, now);
 }
 
 // The streams of this VM's earlier process stay in its record.
-void stream_records::add_record(const platform::key_value& found) {
+streams::version_sets stream_records::add_record(const platform::key_value& found) {
   const time_point now = shared_.time.now();
-  const auto record = streams::decode_stream_record(found.value);
+  auto record = streams::decode_stream_record(found.value);
   if (!record) {
     log_event(level::warning, "stream_record_unreadable", {{"key", found.key}});
-    return;
+    return {};
   }
   const auto source =
       found.key == own_key() ? streams::origin_source::own : streams::origin_source::peer;
@@ -258,6 +266,7 @@
   for (const streams::stream_origin& stream : record->streams) {
     shared_.origins.record(stream, source, now);
   }
+  return std::move(record->recent_versions);
 }
 
 }  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/stream_records.h
+++ b/src/gateway/stream_records.h
@@ -61,7 +61,8 @@
   void renew();
   void read();
   void add_records(std::span<const platform::key_value> records);
-  void add_record(const platform::key_value& found);
+  // Takes the record of one VM.  \returns the versions of the services that were mixed by it.
+  streams::version_sets add_record(const platform::key_value& found);
   // \returns the interval between writes, and between reads: in a large fleet each VM makes few
   // calls, so that all together stay within the store's rate.
   [[nodiscard]] duration call_interval() const;
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -227,7 +227,7 @@
   return hashes;
 }
 
-std::vector<endpoint> peer_set::keepers_of(std::uint64_t key, std::size_t count) const {
+keeper_set peer_set::keepers_of(std::uint64_t key, std::size_t count) const {
   struct ranked_vm {
     std::uint64_t order = 0;
     const endpoint* address = nullptr;
@@ -242,10 +242,12 @@
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
                     ranked.end(),
                     [](const ranked_vm& a, const ranked_vm& b) { return a.order > b.order; });
-  std::vector<endpoint> keepers;
+  keeper_set keepers;
   for (std::size_t index = 0; index < kept; ++index) {
     if (ranked[index].address != nullptr) {
-      keepers.push_back(*ranked[index].address);
+      keepers.peers.push_back(*ranked[index].address);
+    } else {
+      keepers.includes_this_vm = true;
     }
   }
   return keepers;
--- a/src/streams/origin_table.cpp
+++ b/src/streams/origin_table.cpp
@@ -4,7 +4,11 @@
 
 void origin_table::record(const stream_origin& origin, origin_source source, time_point now) {
   drop_expired(now);
-  if (origins_.size() >= settings_.max_total || origin.age > max_stream_age) {
+  if (origin.age > max_stream_age) {
+    return;
+  }
+  if (origins_.size() >= settings_.max_total) {
+    dropped_at_ = now;
     return;
   }
   const known_origin known{origin.software_version, now - origin.age, source, false};
@@ -14,6 +18,7 @@
   std::deque<stream_key>& keys = order_[origin.key.workspace];
   keys.push_back(origin.key);
   if (keys.size() > settings_.max_per_workspace) {
+    dropped_at_ = now;
     drop_oldest(keys);
   }
 }
--- a/src/streams/version_history.cpp
+++ b/src/streams/version_history.cpp
@@ -37,9 +37,40 @@
       newly_mixed.push_back(service);
     }
   }
+  update_bases(now);
   return newly_mixed;
 }
 
+void version_history::complete(const version_sets& sole, time_point now) {
+  if (complete_) {
+    return;
+  }
+  complete_ = true;
+  for (const auto& [service, versions] : sole) {
+    if (versions.size() == 1) {
+      bases_.emplace(service, *versions.begin());
+    }
+  }
+  update_bases(now);
+}
+
+std::optional<std::string> version_history::base(std::string_view service) const {
+  const auto found = bases_.find(service);
+  return found == bases_.end() ? std::nullopt : std::optional(found->second);
+}
+
+void version_history::update_bases(time_point now) {
+  if (!complete_) {
+    return;
+  }
+  for (const auto& [service, versions] : services_) {
+    const std::set<std::string> recent = recent_of(versions, now);
+    if (recent.size() == 1) {
+      bases_.insert_or_assign(service, *recent.begin());
+    }
+  }
+}
+
 void version_history::inherit(const version_sets& recorded, time_point now) {
   for (const auto& [service, versions] : recorded) {
     for (const std::string& version : versions) {
--- a/tests/gateway/joined_versions_test.cpp
+++ b/tests/gateway/joined_versions_test.cpp
@@ -1,5 +1,7 @@
 // Guards against streams that go on at another software version than the one that began them.
 #include <algorithm>
+#include <array>
+#include <boost/asio/post.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -283,8 +285,8 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fresh));
 }
 
-// Guards against streams that go on at another version because it came while no entry VM ran (review
-// case 2): no record of a stream proves nothing about the versions before the outage.
+// Guards against streams that go on at another version because it came while no entry VM ran
+// (review case 2): no record of a stream proves nothing about the versions before the outage.
 TEST_THAT(resumed_stream, is_refused_if_its_version_left_while_no_entry_vm_ran) {
   gateway_fixture fixture;
   fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
@@ -333,7 +335,8 @@
 }
 
 // The store goes back to a copy from before the record of versions, and the VMs write it again.
-TEST_THAT(resumed_stream, is_refused_if_its_version_left_in_an_outage_after_a_restore_of_the_store) {
+TEST_THAT(resumed_stream,
+          is_refused_if_its_version_left_in_an_outage_after_a_restore_of_the_store) {
   gateway_fixture fixture;
   fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
   const fake_store::snapshot before = fixture.store().take_snapshot();
@@ -352,5 +355,112 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fresh));
 }
 
+// Breaks off each stream that begins, and ends each that goes on.
+boost::asio::awaitable<void> break_off_first(const http_request& request,
+                                             net::response_writer& writer) {
+  if (request.header("Last-Event-Id")) {
+    co_await stream_four(request, writer);
+  } else {
+    co_await stream_two_and_abort(request, writer);
+  }
+}
+
+// Three entry VMs, each with its own view of the server list; one version serves at first.
+class release_fleet {
+ public:
+  release_fleet() {
+    old_server_ = &add_versioned(vm(0), "old", "v1", break_off_first);
+    fresh_ = &vm(0).add_server("new", "other", break_off_first);
+    for (std::size_t number = 0; number < vms; ++number) {
+      list_version(vm(number), "old", old_server_->address(), "v1");
+    }
+    vm(0).start_without_retries();
+    for (std::size_t number = 1; number < vms; ++number) {
+      vm(number).start_vm("entry-" + std::to_string(number + 1), {vm(0).peers()});
+    }
+    await_fleet();
+    std::this_thread::sleep_for(list_reading_time);
+  }
+  gateway_fixture& vm(std::size_t number) { return fleet_.at(number); }
+  fake_server& old_server() { return *old_server_; }
+  fake_server& fresh() { return *fresh_; }
+  void begin_release(std::size_t first_vm) {
+    for (std::size_t number = first_vm; number < vms; ++number) {
+      list_version(vm(number), "new", fresh_->address(), "v2");
+    }
+    std::this_thread::sleep_for(list_reading_time);
+  }
+  // Stops all that the VM does for so long, as a frozen process.
+  void freeze(std::size_t number, milliseconds time) {
+    boost::asio::post(vm(number).gateway().executor(),
+                      [time] { std::this_thread::sleep_for(time); });
+  }
+  // Ends the process of a VM and starts a new one.
+  void restart(std::size_t number) {
+    vm(number).restart({vm(0).peers()});
+    await_fleet();
+  }
+
+ private:
+  static constexpr std::size_t vms = 3;
+  void await_fleet() {
+    for (gateway_fixture& each : fleet_) {
+      each.await([&] { return each.metric("hawthornnotch_live_entry_vms") == double{vms}; });
+    }
+  }
+  std::array<gateway_fixture, vms> fleet_;
+  fake_server* old_server_ = nullptr;
+  fake_server* fresh_ = nullptr;
+};
+
+// Guards against streams that are refused everywhere because their VM froze before it saw the
+// second version (review case 4): all that began before a release began at the version before it.
+TEST_THAT(resumed_stream, goes_on_if_its_entry_vm_froze_before_a_release) {
+  release_fleet fleet;
+  for (int number = 0; number < streams; ++number) {
+    std::ignore = fleet.vm(0).call(make_stream("a" + std::to_string(number)));
+  }
+  fleet.freeze(0, milliseconds(6'000));
+  fleet.begin_release(1);
+  for (int number = 0; number < streams; ++number) {
+    const std::string id = std::to_string(number);
+    const auto answer = fleet.vm(1).call(make_resumption("b" + id, "a" + id));
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT_EQUAL(200U, answer->status);
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{streams}, resumptions_at(fleet.old_server()));
+}
+
+// The VM of the stream freezes as soon as the first event has reached the caller.
+TEST_THAT(resumed_stream,
+          goes_on_at_the_new_version_if_its_entry_vm_freezes_after_the_first_event) {
+  release_fleet fleet;
+  fleet.begin_release(0);
+  std::string begun_new;
+  for (int number = 0; number < 3 * streams && begun_new.empty(); ++number) {
+    const std::string id = "a" + std::to_string(number);
+    std::ignore = fleet.vm(0).call(make_stream(id));
+    begun_new = began_at(fleet.fresh(), id) ? id : "";
+  }
+  CPPUNIT_ASSERT(!begun_new.empty());
+  fleet.freeze(0, milliseconds(2'000));
+  const auto answer = fleet.vm(1).call(make_resumption("b", begun_new));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(200U, answer->status);
+  CPPUNIT_ASSERT(received_attempt(fleet.fresh(), "b"));
+}
+
+// VMs that restarted during the release do not know what they were told before.
+TEST_THAT(resumed_stream, is_refused_if_most_vms_restarted_during_a_release) {
+  release_fleet fleet;
+  fleet.begin_release(0);
+  std::this_thread::sleep_for(record_writing_time);
+  fleet.restart(1);
+  fleet.restart(2);
+  const auto answer = fleet.vm(1).call(make_resumption("b", "lost"));
+  CPPUNIT_ASSERT(answer);
+  CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+}
+
 }  // namespace
 }  // namespace hawthornnotch::test
--- a/tests/streams/stream_origin_test.cpp
+++ b/tests/streams/stream_origin_test.cpp
@@ -106,6 +106,49 @@
   CPPUNIT_ASSERT(!history.is_mixed("forecast", start + max_stream_age + 1_ms));
 }
 
+TEST_THAT(origin_table, is_incomplete_while_a_dropped_origin_may_be_asked_for) {
+  origin_table table({.max_per_workspace = 1, .max_total = 2});
+  table.record(make_origin("a"), origin_source::own, start);
+  CPPUNIT_ASSERT(table.is_complete(start));
+  table.record(make_origin("b"), origin_source::own, start);
+  CPPUNIT_ASSERT(!table.is_complete(start + max_stream_age));
+  CPPUNIT_ASSERT(table.is_complete(start + max_stream_age + 1_ms));
+}
+
+TEST_THAT(version_history, has_the_version_that_served_alone_for_its_base) {
+  version_history history;
+  const std::vector<servers::server_entry> before{make_entry("s1", "v1")};
+  const std::vector<servers::server_entry> during{make_entry("s1", "v1"), make_entry("s2", "v2")};
+  const std::vector<servers::server_entry> after{make_entry("s2", "v2")};
+  (void)history.observe(before, start);
+  CPPUNIT_ASSERT(!history.base("forecast"));
+  history.complete({}, start);
+  CPPUNIT_ASSERT_EQUAL(std::string("v1"), *history.base("forecast"));
+  (void)history.observe(during, start + 1_s);
+  (void)history.observe(after, start + 2_s);
+  CPPUNIT_ASSERT_EQUAL(std::string("v1"), *history.base("forecast"));
+  (void)history.observe(after, start + 3_s + max_stream_age);
+  CPPUNIT_ASSERT_EQUAL(std::string("v2"), *history.base("forecast"));
+}
+
+TEST_THAT(version_history, has_the_base_that_the_last_process_left) {
+  version_history history;
+  const std::vector<servers::server_entry> listed{make_entry("s2", "v2")};
+  (void)history.observe(listed, start);
+  history.inherit({{"forecast", {"v1"}}}, start);
+  history.complete({{"forecast", {"v1"}}}, start);
+  CPPUNIT_ASSERT_EQUAL(std::string("v1"), *history.base("forecast"));
+}
+
+TEST_THAT(version_history, has_no_base_if_versions_were_mixed_before_the_process_started) {
+  version_history history;
+  const std::vector<servers::server_entry> listed{make_entry("s2", "v2")};
+  (void)history.observe(listed, start);
+  history.inherit({{"forecast", {"v1", "v2"}}}, start);
+  history.complete({}, start);
+  CPPUNIT_ASSERT(!history.base("forecast"));
+}
+
 TEST_THAT(origin_message, is_decoded_as_encoded) {
   origin_message message;
   message.origins.push_back(make_origin("a"));
