Destroy open requests before the state that they refer to

Cause: the event loop is the gateway's first member, so what still waits in it, open requests among it, was destroyed after all other members; ~proxied_request touches open_requests of the state.

Change and why it works: the gateway destroys what is pending in its event loop first, so the coroutines end while their state exists; timers and sockets are destroyed afterwards, when their services still exist.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,6 +73,18 @@
 
 }  // namespace
 
+// An event loop whose pending operations can be destroyed before it, and with them the coroutines
+// that wait for these.
+class event_loop : public asio::io_context {
+ public:
+  using asio::io_context::io_context;
+  void destroy_pending() {
+    shutdown();
+    // A coroutine that is destroyed posts its unwinding.
+    shutdown();
+  }
+};
+
 class gateway_impl final : public gateway {
  public:
   gateway_impl(gateway_settings settings, const protocol& wire,
@@ -92,6 +104,11 @@
     shared_.dispatcher.limits().start(shared_.settings.vm, shared_.time.now());
   }
 
+  // Requests that are still open refer to the members.
+  ~gateway_impl() override { context_.destroy_pending(); }
+  gateway_impl(const gateway_impl&) = delete;
+  gateway_impl& operator=(const gateway_impl&) = delete;
+
   status<net::net_failure> listen(const store_factory& make_store) {
     const auto executor = context_.get_executor();
     store_ = make_store(executor, shared_.settings.store, *shared_.http);
@@ -329,7 +346,7 @@
     });
   }
 
-  asio::io_context context_{1};
+  event_loop context_{1};
   gateway_state shared_;
   state_updater updater_;
   path_monitor paths_;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -94,9 +94,7 @@
   start_again(std::move(seeds));
 }
 
-void gateway_fixture::start_again(std::vector<endpoint> seeds) {
-  start_vm(vm_, std::move(seeds));
-}
+void gateway_fixture::start_again(std::vector<endpoint> seeds) { start_vm(vm_, std::move(seeds)); }
 
 void gateway_fixture::launch(std::string vm, std::vector<endpoint> seeds) {
   vm_ = std::move(vm);
@@ -175,6 +173,12 @@
   });
 }
 
+std::unique_ptr<net::response_stream> gateway_fixture::open_unread(http_request request) {
+  auto opened = runtime_.await(client_->open(callers(), std::move(request), {}));
+  CPPUNIT_ASSERT(opened.has_value());
+  return std::move(*opened);
+}
+
 void gateway_fixture::call_and_disconnect(http_request request) {
   net::exchange_limits limits;
   limits.head_timeout = duration{300};
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -223,6 +223,9 @@
     std::uint64_t body_bytes = 0;
   };
   result<discarded_response, net::net_failure> read_and_discard(http_request request);
+  // Sends the request and reads no more than the head of its answer.  Destroy the result before the
+  // fixture.
+  std::unique_ptr<net::response_stream> open_unread(http_request request);
   // Sends the request and closes the connection after a short time without an answer.
   void call_and_disconnect(http_request request);
   unsigned readiness();
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -1,9 +1,11 @@
 // Guards against requests that a planned stop cuts without an answer.
 #include <chrono>
 #include <future>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 #include "gateway_fixture.h"
 #include "test_case.h"
@@ -86,5 +88,34 @@
   CPPUNIT_ASSERT_EQUAL(504U, answer->status);
 }
 
+// Sends events that no caller takes, until the connection ends.
+boost::asio::awaitable<void> stream_much(const http_request& request, net::response_writer& writer) {
+  co_await stream_two(request, writer);
+  const std::string event = ":" + std::string(64 * 1024, 'a') + "\n\n";
+  bool open = true;
+  while (open) {
+    const auto written = co_await writer.write(event);
+    open = written.has_value();
+  }
+}
+
+// Guards against an end by a signal after SIGTERM while callers don't read their streams (report of
+// the review): requests that were still open were destroyed after the state that they refer to.
+TEST_THAT(planned_stop, ends_cleanly_while_callers_do_not_read) {
+  constexpr int callers = 8;
+  // Until the buffers between server and caller are full.
+  constexpr milliseconds filling_time{3'000};
+  gateway_fixture fixture;
+  fixture.add_server("s1", "forecast", stream_much);
+  fixture.start();
+  std::vector<std::unique_ptr<net::response_stream>> unread;
+  for (int number = 0; number < callers; ++number) {
+    unread.push_back(
+        fixture.open_unread(make_request("POST", "/draft/", "a" + std::to_string(number))));
+  }
+  std::this_thread::sleep_for(filling_time);
+  fixture.stop();
+}
+
 }  // namespace
 }  // namespace hawthornnotch::test
