Bound what all requests hold of their servers' answers together

Change: 24 MiB for all requests; above it the request that holds most gives way, as for any malformed answer, or by its connection where the caller doesn't read. Why it works: an answer without end grows until it is the largest; a sound stream holds an incomplete event at most. Answers that are collected are passed on in pieces once half of the room is used.

Test support: a raw server writes in smaller blocks, as each of its threads holds one.

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -33,6 +33,8 @@
   void restart();
   // \returns whether the bytes so far end with a complete event.
   [[nodiscard]] bool between_events() const { return buffer_.empty(); }
+  // \returns the bytes of the incomplete event.
+  [[nodiscard]] std::size_t held_bytes() const { return buffer_.size(); }
   [[nodiscard]] std::optional<std::uint64_t> last_id() const { return last_id_; }
 
  private:
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -26,6 +26,7 @@
 #include "hawthornnotch/servers/server_list.h"
 #include "hawthornnotch/streams/origin_table.h"
 #include "hawthornnotch/streams/version_history.h"
+#include "held_memory.h"
 
 namespace hawthornnotch::gateway::internal {
 
@@ -43,6 +44,8 @@
         metrics(observe::metrics::create(max_series)) {}
 
   static constexpr std::size_t max_series = 2'000;
+  // A small part of the memory of the smallest VMs.
+  static constexpr std::size_t max_held_bytes = std::size_t{24} * 1024 * 1024;
 
   static relay::peer_set_settings peer_settings(const gateway_settings& settings) {
     relay::peer_set_settings out;
@@ -69,6 +72,8 @@
   quarantine::suspect_table suspects;
   paths::server_paths paths;
   paths::forwarder_choice forwarders;
+  // Of answers that are not passed on yet.
+  held_memory held{max_held_bytes};
   std::unique_ptr<observe::metrics> metrics;
   std::unique_ptr<net::http_client> http;
   // Whether a configuration and a server list are known.
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -50,7 +50,8 @@
       breaker_(std::make_shared<net::cancellation_token>()),
       alive_(std::make_shared<bool>(true)),
       arrived_at_(shared.time.now()),
-      splitter_(std::nullopt) {
+      splitter_(std::nullopt),
+      held_(shared.held, [this] { give_way(); }) {
   shared_.open_requests.emplace(this, [this] { end_now(); });
 }
 
@@ -180,6 +181,22 @@
   cancel_exchange();
 }
 
+// A caller that does not read is not waited for; from a server nothing more is taken.
+void proxied_request::give_way() {
+  gave_way_ = true;
+  shared_.metrics->count("hawthornnotch_answers_too_large_total", {{"service", service_}});
+  log_event(level::warning, "answer_too_large",
+            {{"request_id", request_.id},
+             {"server", placement_.server.id},
+             {"caller_reads", !writing_},
+             {"all_held_bytes", shared_.held.bytes()}});
+  if (writing_) {
+    writer_.abort();
+  } else if (answer_ != nullptr) {
+    answer_->cancel();
+  }
+}
+
 void proxied_request::cancel_exchange() { breaker_->cancel(); }
 
 asio::awaitable<void> proxied_request::send_with_retries() {
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -97,6 +97,8 @@
   void cancel_exchange();
   // Ends the request as at its deadline.
   void end_now();
+  // Ends the attempt, as its answer takes more memory than there is.
+  void give_way();
 
   boost::asio::awaitable<void> send_with_retries();
   boost::asio::awaitable<attempt_outcome> send_attempt(const dispatch::placement& to);
@@ -109,6 +111,7 @@
   // \returns whether no other VM was found that sends to the service.
   [[nodiscard]] bool nobody_sends() const;
   boost::asio::awaitable<attempt_outcome> deliver_response(net::response_stream& answer);
+  boost::asio::awaitable<attempt_outcome> deliver_body(net::response_stream& answer);
   // Reads a complete response before sending it, so that a failure can still be retried.
   boost::asio::awaitable<attempt_outcome> deliver_buffered(net::response_stream& answer);
   // Forwards a response as it arrives.  \param begin what was read so far.
@@ -123,6 +126,8 @@
   boost::asio::awaitable<bool> forward_events(const net::http_response& head,
                                               const event_batch& batch);
   attempt_outcome on_attempt_failed(const net::net_failure& failure);
+  // Called when an answer could not be read to its end.
+  attempt_outcome on_read_failed(const net::net_failure& failure);
   attempt_outcome on_attempt_refused(const response_info& details, unsigned status);
   // Applies the server's announcements that it is leaving, full or limited.
   void apply_server_notices(const response_info& details);
@@ -173,6 +178,13 @@
   // An error response of a server, delivered if no retry yields a better one.
   std::optional<net::http_response> fallback_response_;
   event_splitter splitter_;
+  // The answer that is being delivered.
+  net::response_stream* answer_ = nullptr;
+  held_memory::share held_;
+  // The answer took more memory than there was.
+  bool gave_way_ = false;
+  // Part of an answer is being written to the caller.
+  bool writing_ = false;
   // Number of servers that may have executed the request.
   std::uint32_t possible_executions_ = 0;
   // The current attempt was sent by this VM itself.
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -55,13 +55,20 @@
   if (!trusted) {
     co_return on_attempt_failed({net::net_failure_kind::malformed, true});
   }
+  answer_ = &answer;
+  const attempt_outcome next = co_await deliver_body(answer);
+  answer_ = nullptr;
+  held_.set(0);
+  co_return next;
+}
+
+asio::awaitable<proxied_request::attempt_outcome> proxied_request::deliver_body(
+    net::response_stream& answer) {
   const bool is_stream = route_->kind == routes::repeatability::event_stream;
   if (is_stream && is_success(answer.head().status)) {
-    const attempt_outcome next = co_await deliver_events(answer);
-    co_return next;
+    return deliver_events(answer);
   }
-  const attempt_outcome next = co_await deliver_buffered(answer);
-  co_return next;
+  return deliver_buffered(answer);
 }
 
 void proxied_request::apply_server_notices(const response_info& details) {
@@ -120,16 +127,19 @@
   while (true) {
     auto piece = co_await answer.read();
     if (!piece) {
-      co_return on_attempt_failed(piece.last_reason());
+      co_return on_read_failed(piece.last_reason());
     }
     if (piece->empty()) {
       break;
     }
     response.body += *piece;
-    if (response.body.size() > max_buffered_bytes) {
+    const bool may_pass_on = !head_sent_ && response.status < first_server_error;
+    if (response.body.size() > max_buffered_bytes || (may_pass_on && shared_.held.is_scarce())) {
+      held_.set(0);
       const attempt_outcome next = co_await deliver_unbuffered(answer, std::move(response.body));
       co_return next;
     }
+    held_.set(response.body.size());
   }
   const attempt_outcome next = co_await finish_buffered(std::move(response));
   co_return next;
@@ -197,7 +207,9 @@
 }
 
 asio::awaitable<bool> proxied_request::write_body(std::string_view bytes) {
+  writing_ = true;
   const auto written = co_await writer_.write(bytes);
+  writing_ = false;
   co_return written.has_value();
 }
 
@@ -208,6 +220,12 @@
   return attempt_outcome::give_up;
 }
 
+proxied_request::attempt_outcome proxied_request::on_read_failed(const net::net_failure& failure) {
+  const bool too_large = std::exchange(gave_way_, false);
+  return on_attempt_failed(too_large ? net::net_failure{net::net_failure_kind::too_large, true}
+                                     : failure);
+}
+
 asio::awaitable<proxied_request::attempt_outcome> proxied_request::deliver_events(
     net::response_stream& answer) {
   splitter_.restart();
@@ -215,12 +233,13 @@
   while (true) {
     auto piece = co_await answer.read();
     if (!piece) {
-      co_return on_attempt_failed(piece.last_reason());
+      co_return on_read_failed(piece.last_reason());
     }
     if (piece->empty()) {
       break;
     }
     const event_batch batch = splitter_.take(*piece);
+    held_.set(splitter_.held_bytes() + batch.text.size());
     if (batch.broken) {
       answer.cancel();
       co_return on_attempt_failed({net::net_failure_kind::malformed, true});
@@ -241,6 +260,7 @@
     if (!forwarded) {
       co_return on_caller_left(answer);
     }
+    held_.set(splitter_.held_bytes());
   }
   if (!splitter_.between_events()) {
     co_return on_attempt_failed({net::net_failure_kind::malformed, true});
--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -2,8 +2,12 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <future>
+#include <memory>
 #include <thread>
+#include <vector>
 
+#include "gateway/held_memory.h"
 #include "gateway_fixture.h"
 #include "raw_server.h"
 #include "test_case.h"
@@ -237,5 +241,77 @@
   CPPUNIT_ASSERT(memory.growth() < max_growth_bytes);
 }
 
+/// Memory of the smallest VMs; the callers and the server in this process take a part of it.
+constexpr std::uint64_t max_growth_of_many_bytes = 120'000'000;
+
+// Guards against a process that runs out of memory as many answers without end are read at once
+// (report of operators): each is bounded, but their sum was not.
+TEST_THAT(endless_response, to_many_callers_at_once_leaves_memory_for_others) {
+  constexpr int callers = 200;
+  constexpr int reads = 100;
+  endless_server server(endless_streams(), endless_server::pace::fast);
+  gateway_fixture fixture;
+  fixture.list("s1", "forecast", server.address());
+  fake_server& sound = fixture.add_server("s2", "stations", answer_ok);
+  fixture.start();
+  const memory_monitor memory;
+  std::vector<std::future<bool>> open;
+  for (int number = 0; number < callers; ++number) {
+    const std::string id = "e" + std::to_string(number);
+    open.push_back(std::async(std::launch::async, [&fixture, id] {
+      const auto answer = fixture.read_and_discard(make_request("POST", "/draft/0", id));
+      return answer && answer->status == 200;
+    }));
+  }
+  fixture.send_reads(reads);
+  for (auto& each : open) {
+    CPPUNIT_ASSERT(!each.get());
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{reads}, sound.received().size());
+  CPPUNIT_ASSERT_LESS(max_growth_of_many_bytes, memory.growth());
+}
+
+// Callers that do not read keep what was read for them.
+TEST_THAT(endless_response, to_many_callers_that_do_not_read_leaves_memory_for_others) {
+  constexpr int callers = 400;
+  constexpr int reads = 100;
+  endless_server server(endless_streams(), endless_server::pace::fast);
+  gateway_fixture fixture;
+  fixture.list("s1", "forecast", server.address());
+  fake_server& sound = fixture.add_server("s2", "stations", answer_ok);
+  fixture.start();
+  const memory_monitor memory;
+  std::vector<std::unique_ptr<net::response_stream>> unread;
+  for (int number = 0; number < callers; ++number) {
+    unread.push_back(
+        fixture.open_unread(make_request("POST", "/draft/0", "e" + std::to_string(number))));
+  }
+  fixture.send_reads(reads);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{reads}, sound.received().size());
+  CPPUNIT_ASSERT_LESS(max_growth_of_many_bytes, memory.growth());
+}
+
+TEST_THAT(held_memory, makes_the_largest_holder_give_way) {
+  using gateway::internal::held_memory;
+  held_memory all(100);
+  int small_ended = 0;
+  int large_ended = 0;
+  held_memory::share small(all, [&] { ++small_ended; });
+  held_memory::share large(all, [&] { ++large_ended; });
+  large.set(60);
+  small.set(40);
+  CPPUNIT_ASSERT_EQUAL(0, large_ended);
+  small.set(41);
+  CPPUNIT_ASSERT_EQUAL(1, large_ended);
+  CPPUNIT_ASSERT_EQUAL(0, small_ended);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{41}, all.bytes());
+  // Its end takes a moment.
+  large.set(70);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{41}, all.bytes());
+  large.set(0);
+  large.set(50);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{91}, all.bytes());
+}
+
 }  // namespace
 }  // namespace hawthornnotch::test
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -44,7 +44,7 @@
 }
 
 bool raw_connection::write_until_closed(std::string_view bytes) {
-  constexpr std::size_t block_bytes = 64 * 1024;
+  constexpr std::size_t block_bytes = 16 * 1024;
   std::string block;
   while (block.size() < block_bytes) {
     block += bytes;
