--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -256,6 +256,7 @@
   fixture.start();
   const memory_monitor memory;
   std::vector<std::future<bool>> open;
+  open.reserve(callers);
   for (int number = 0; number < callers; ++number) {
     const std::string id = "e" + std::to_string(number);
     open.push_back(std::async(std::launch::async, [&fixture, id] {
@@ -282,6 +283,7 @@
   fixture.start();
   const memory_monitor memory;
   std::vector<std::unique_ptr<net::response_stream>> unread;
+  unread.reserve(callers);
   for (int number = 0; number < callers; ++number) {
     unread.push_back(
         fixture.open_unread(make_request("POST", "/draft/0", "e" + std::to_string(number))));
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -89,7 +89,8 @@
 }
 
 // Sends events that no caller takes, until the connection ends.
-boost::asio::awaitable<void> stream_much(const http_request& request, net::response_writer& writer) {
+boost::asio::awaitable<void> stream_much(const http_request& request,
+                                         net::response_writer& writer) {
   co_await stream_two(request, writer);
   const std::string event = ":" + std::string(64 * 1024, 'a') + "\n\n";
   bool open = true;
@@ -109,6 +110,7 @@
   fixture.add_server("s1", "forecast", stream_much);
   fixture.start();
   std::vector<std::unique_ptr<net::response_stream>> unread;
+  unread.reserve(callers);
   for (int number = 0; number < callers; ++number) {
     unread.push_back(
         fixture.open_unread(make_request("POST", "/draft/", "a" + std::to_string(number))));
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -339,6 +339,7 @@
   running_context running;
   auto client = http_client::create(4);
   std::vector<std::future<std::size_t>> answered;
+  answered.reserve(callers);
   for (int caller = 0; caller < callers; ++caller) {
     answered.push_back(asio::co_spawn(asio::make_strand(running.executor()),
                                       fetch_repeatedly(*client, server.address(), requests),
