--- a/tests/gateway/joined_versions_test.cpp
+++ b/tests/gateway/joined_versions_test.cpp
@@ -56,8 +56,14 @@
 constexpr milliseconds old_list_age{4'500};
 // Time after which the platform's store holds the origins of streams.
 constexpr milliseconds record_writing_time{1'500};
-// Time after which it holds the versions that serve.
-constexpr milliseconds version_recording_time{4'000};
+
+// Waits until the platform's store holds the version in service.
+void await_recorded(gateway_fixture& fixture, const std::string& version) {
+  fixture.await([&] {
+    const auto record = fixture.store().find("hn/streams/fleet/versions");
+    return record && record->value.find('"' + version + '"') != std::string::npos;
+  });
+}
 
 // A server of another version starts while the stream runs, and the stream's own server fails.
 TEST_THAT(resumed_stream, goes_on_at_its_version_within_one_answer) {
@@ -292,7 +298,7 @@
   fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
   fixture.start_without_retries();
   std::ignore = fixture.call(make_stream("a"));
-  std::this_thread::sleep_for(version_recording_time);
+  await_recorded(fixture, "v1");
   fixture.stop();
   fixture.store().erase("servers/" + old_server.id());
   fake_server& fresh = add_versioned(fixture, "new", "v2", stream_four);
@@ -309,7 +315,7 @@
   fake_server& server = add_versioned(fixture, "s1", "v1", stream_two_and_abort);
   fixture.start_without_retries();
   std::ignore = fixture.call(make_stream("a"));
-  std::this_thread::sleep_for(version_recording_time);
+  await_recorded(fixture, "v1");
   fixture.restart();
   std::ignore = fixture.call(make_resumption("b", "a"));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resumptions_at(server));
@@ -321,12 +327,12 @@
   fake_server& old_server = add_versioned(fixture, "old", "v1", stream_two_and_abort);
   fixture.start_without_retries();
   std::ignore = fixture.call(make_stream("a"));
-  std::this_thread::sleep_for(version_recording_time);
+  await_recorded(fixture, "v1");
   fixture.stop();
   fixture.store().erase("servers/" + old_server.id());
   fake_server& fresh = add_versioned(fixture, "new", "v2", stream_four);
   fixture.start_again();
-  std::this_thread::sleep_for(version_recording_time);
+  await_recorded(fixture, "v2");
   fixture.restart();
   const auto answer = fixture.call(make_resumption("b", "a"));
   CPPUNIT_ASSERT(answer);
@@ -342,9 +348,9 @@
   const fake_store::snapshot before = fixture.store().take_snapshot();
   fixture.start_without_retries();
   std::ignore = fixture.call(make_stream("a"));
-  std::this_thread::sleep_for(version_recording_time);
+  await_recorded(fixture, "v1");
   fixture.store().restore(before);
-  std::this_thread::sleep_for(version_recording_time);
+  await_recorded(fixture, "v1");
   fixture.stop();
   fixture.store().erase("servers/" + old_server.id());
   fake_server& fresh = add_versioned(fixture, "new", "v2", stream_four);
