--- a/tests/gateway/broken_response_test.cpp
+++ b/tests/gateway/broken_response_test.cpp
@@ -197,12 +197,12 @@
       peer.write("26\r\n" + events(1, 2) + "\r\n");
       return;
     }
-    std::string error_answer = errors.at(number);
+    // Counted before the answer, as the caller may get its own before this thread goes on.
+    std::string error_answer = errors.at(number++);
     if (const std::size_t at = error_answer.find('%'); at != std::string::npos) {
       error_answer.replace(at, 1, id);
     }
     peer.write(error_answer);
-    ++number;
   };
   raw_server first(answer);
   raw_server second(answer);
