Tests: leave the fleet's record time to be written too early

With the VM's own record no longer written first the test passed (3 of 3): the pause between two writes of the fleet's record hid the order. It fails now without that guard (3 of 3) and passes with it (3 of 3).

--- a/tests/gateway/outage_versions_test.cpp
+++ b/tests/gateway/outage_versions_test.cpp
@@ -101,6 +101,8 @@
 // A version that has left is in the record of the VM before it leaves that of the fleet.
 TEST_THAT(version_record, forgets_no_version_that_another_record_does_not_hold_yet) {
   outage play;
+  // The record of the fleet may be written at once again.
+  std::this_thread::sleep_for(list_reading_time);
   play.remove_old_version();
   play.add_new_version();
   await_recorded(play.fixture(), "v2");
