--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -515,6 +515,8 @@
         self.status, self.headers, self.body, self.whole = 0, {}, b"", False
         # "refused": no connection; "unread": closed before an answer; "broken": closed within it
         self.end = "unread"
+        # When the request had been written and when the head of its answer came.
+        self.sent_at = self.head_at = None
 
     def text(self):
         return f"{self.status}/{'whole' if self.whole else self.end}"
@@ -546,7 +548,9 @@
 
 async def _receive(reader, writer, answer, on_events):
     await writer.drain()
+    answer.sent_at = now()
     line, answer.headers = await read_head(reader)
+    answer.head_at = now()
     answer.status = int(line.split(" ")[1])
     if answer.headers.get("transfer-encoding", "").lower() == "chunked":
         while True:
@@ -619,12 +623,17 @@
         self.temporary.cleanup()
 
 
-def stream_route(service, attempts=2, resumable=True, path="/lohu930/"):
-    return {"Name": "r-hvz3pfi", "Host": HOST, "Prefix": path, "Type": "stream", "TimeoutMs": 15000,
+def stream_route(service, attempts=2, resumable=True, path="/lohu930/", timeout_ms=15000):
+    return {"Name": "r-hvz3pfi", "Host": HOST, "Prefix": path, "Type": "stream", "TimeoutMs": timeout_ms,
             "TargetLatencyMs": 2000, "Priority": 2, "Service": service, "MaxAttempts": attempts,
             "Anonymous": False, "Sticky": True, "Resumable": resumable, "TargetGapMs": 800}
 
 
+def unsafe_route(service, timeout_ms):
+    return {"Name": "r-6y7z5k6", "Host": HOST, "Prefix": "/puxa403/", "Type": "unsafe", "TimeoutMs": timeout_ms,
+            "TargetLatencyMs": 100, "Priority": 1, "Service": service, "MaxAttempts": 1, "Anonymous": False}
+
+
 def engine(name, slots=128):
     return {"Name": name, "HealthPath": "/healthz", "MaxConnections": 620, "Protocol": "h1", "Tls": False,
             "Engine": {"Slots": slots, "KvCapacity": 454568, "KvBytes": 35136, "LinkMbps": 550000.0, "Moves": True,
