--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -161,6 +161,8 @@
         self.items, self.history, self.revision = {}, [], 100
         self.leases, self.next_lease = {}, 70000
         self.changed = asyncio.Condition()
+        # Rises when the store comes back from a copy; revisions below `oldest` are no longer known then.
+        self.era = 1
 
     async def start(self):
         await self.listener.start()
@@ -206,7 +208,7 @@
             status, answer = await self._answer(method, target, body)
             text = json.dumps(answer).encode()
             writer.write(message(f"HTTP/1.1 {status} X", [
-                ("Content-Type", "application/json"), ("Store-Era", "1"), ("Content-Length", len(text))], text))
+                ("Content-Type", "application/json"), ("Store-Era", self.era), ("Content-Length", len(text))], text))
             await writer.drain()
 
     async def _answer(self, method, target, body):
