review: streams of a newer version go on at the old one after a loss of power and a restored store

A process that starts after its fleet was lost takes the version that the store's record names for the base, also where the store came back from a copy that is older than the newer version.

--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -162,11 +162,25 @@
         self.leases, self.next_lease = {}, 70000
         self.changed = asyncio.Condition()
         # Rises when the store comes back from a copy; revisions below `oldest` are no longer known then.
-        self.era = 1
+        self.era, self.oldest = 1, 0
 
     async def start(self):
         await self.listener.start()
 
+    def copy(self):
+        return {key: dict(item) for key, item in self.items.items()}, self.revision, dict(self.leases)
+
+    async def come_back_from(self, copy):
+        """Comes back from a copy: what the system wrote since is gone, leases too, and revisions go back. What the
+        operator wrote is written again; servers register again by themselves."""
+        config = self.items["op/config"]
+        self.items, self.revision, self.leases = copy
+        self.history, self.oldest = [], self.revision
+        self.era += 1
+        if self.items["op/config"]["Value"] != config["Value"]:
+            self._write("op/config", base64.b64decode(config["Value"]))
+        await self.listener.start()
+
     def _write(self, key, value, lease=0):
         self.revision += 1
         created = self.items[key]["Created"] if key in self.items else self.revision
@@ -250,6 +264,8 @@
 
     async def _watch(self, prefix, after, wait_s):
         end = now() + wait_s
+        if after < self.oldest or after > self.revision:
+            return 410, {}
         while True:
             events = [each for each in self.history
                       if each["Key"].startswith(prefix) and each["Revision"] > after]
