--- a/review/8/case.py
+++ b/review/8/case.py
@@ -20,7 +20,7 @@
 RUN_S = 2.5
 STORE_AWAY_S = 1.0
 DARK_S = 3.0
-TRIES_AT_S = (4.0, 5.5, 7.5)
+TRIES_AT_S = (4.0, 5.5)
 MOST_MIXED = 2
 # Parts of the disruption, to see what each does alone.
 KILL = f.trouble() and os.environ.get("KILL", "1") != "0"
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -21,7 +21,8 @@
 # whichever is longest": 8 x 800 ms would be 6.4 s, so the route has a pause of 250 ms and an objective of 500 ms.
 GIVE_UP_S = 2.0
 TARGET_MS, PAUSE_MS = 500, 250
-TRIES = 3
+# Waits before a caller comes back after a refusal, at least; the last two tries come after the lost VMs are back.
+COMES_BACK_S = (0.5, 2.0, 3.0)
 LEAST = 12
 
 
@@ -78,11 +79,11 @@
         while f.trouble() and f.now() - self.heard < GIVE_UP_S:
             await asyncio.sleep(0.05)
         self.task.cancel()
-        for each in range(TRIES):
+        for each in range(1 + len(COMES_BACK_S)):
             answer, went_on = await self.attempt(entries[(self.number + each) % len(entries)])
-            if went_on or answer.status != 503:
+            if went_on or answer.status != 503 or each == len(COMES_BACK_S):
                 return went_on
-            await asyncio.sleep(float(answer.headers.get("retry-after", "0.3")))
+            await asyncio.sleep(max(COMES_BACK_S[each], float(answer.headers.get("retry-after", "0.3"))))
         return False
 
 
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import pathlib
@@ -30,6 +31,7 @@
 }
 HEARTBEAT_S = 1.2
 RESERVED_DESCRIPTORS = 200
+PARENT_DEATH_SIGNAL = 1
 
 
 def now():
@@ -498,7 +500,9 @@
         self.fleet.record.line("entry_up", vm=self.name, pid=self.process.pid)
 
     def limit(self):
-        """Of the descriptors, 200 are reserved for files; sockets and pipes share the remainder."""
+        """Of the descriptors, 200 are reserved for files; sockets and pipes share the remainder. The process ends with
+        this program, whatever ends it."""
+        ctypes.CDLL(None).prctl(PARENT_DEATH_SIGNAL, signal.SIGKILL)
         most = self.fleet.descriptors - RESERVED_DESCRIPTORS
         resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
 
