Streams: a record from before a restore of the store proves nothing

Cause: a process that starts took the records that it found for those that the last processes had left. The copy's record of versions named the old version alone, so it became the base version of each stream that nobody knew. A new process knows no earlier era and can't notice the restore. Ruled out as the case's own way: the list that lacks the newer version for a moment; the case's resumptions come when both are listed.

Change: the record of versions names the store's era while its writer vouches that no record is missing. A process that finds another era, or none, takes no base version from it, and believes that one version serves alone only by a list read 3 s later, when all servers have registered again. A VM declares in its own record that versions are mixed before it places a new stream at another version than the base one, so in an unbroken era a missing record proves that it began none. VMs of the build before do not declare; while one is remembered the record names no era. The lease of a VM's record is renewed also while the record is rewritten; before, a write counted as a renewal.

Why it works: what a restore removes is never taken for absent.

--- a/include/hawthornnotch/relay/exchange.h
+++ b/include/hawthornnotch/relay/exchange.h
@@ -41,6 +41,10 @@
   std::uint64_t heartbeat = 0;
   /// True once the process is shutting down.
   bool leaving = false;
+  /// True if the VM declares in the store that versions are mixed before its first stream at a
+  /// second one, see `streams::version_declaration`.  Only peers that announce that they understand
+  /// it may be sent it.
+  bool declares_versions = false;
   /// Outstanding work at that heartbeat.
   std::vector<server_work> work;
 };
--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -99,6 +99,9 @@
   /// \returns the hashes of the names of all other entry VMs that are remembered, dead ones
   /// included: a dead VM cannot be told from one that is cut off and still sends requests.
   [[nodiscard]] std::vector<std::uint64_t> known_hashes() const;
+  /// \returns whether all remembered peers, dead ones included, declare the versions of their
+  /// streams (`peer::declares_versions`).
+  [[nodiscard]] bool all_declare_versions() const;
   /// \returns when a peer was last found ended, restarted, leaving or out of reach, by
   /// `take_changes` or an exchange: its callers may have come to this VM; none so far.
   [[nodiscard]] std::optional<time_point> disrupted_at() const { return disrupted_at_; }
--- a/include/hawthornnotch/streams/stream_record.h
+++ b/include/hawthornnotch/streams/stream_record.h
@@ -4,6 +4,7 @@
 #define HAWTHORNNOTCH_STREAMS_STREAM_RECORD_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,9 @@
   version_sets recent_versions;
   /// The unfinished streams of these services that began on the VM; ages are not kept.
   std::vector<stream_origin> streams;
+  /// In the record of the fleet: era of the store in which it was written by a VM that knows of no
+  /// lost record, see `record_trust`.  Processes of an earlier build write none.
+  std::optional<std::int64_t> era;
   bool operator==(const stream_record&) const = default;
 };
 
--- a/include/hawthornnotch/streams/version_history.h
+++ b/include/hawthornnotch/streams/version_history.h
@@ -46,6 +46,7 @@
   /// \param sole versions of services that had only one at the end of their last process; these are
   /// their bases.
   void complete(const version_sets& sole, time_point now);
+  [[nodiscard]] bool is_complete() const { return complete_; }
   /// \returns the version that serves alone, or did before versions were mixed; none if it is
   /// unknown.
   [[nodiscard]] std::optional<std::string> base(std::string_view service) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,6 +65,7 @@
   self.address = settings.peers;
   self.incarnation = make_incarnation();
   self.heartbeat = static_cast<std::uint64_t>(time.wall().ms);
+  self.declares_versions = true;
   return self;
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -27,6 +27,7 @@
 #include "hawthornnotch/routes/route_table.h"
 #include "hawthornnotch/servers/server_list.h"
 #include "hawthornnotch/streams/origin_table.h"
+#include "hawthornnotch/streams/version_declaration.h"
 #include "hawthornnotch/streams/version_history.h"
 #include "held_memory.h"
 #include "usage_counter.h"
@@ -70,6 +71,7 @@
   servers::server_list servers;
   streams::version_history versions;
   streams::origin_table origins;
+  streams::version_declaration declaration;
   // What the entry VMs publish to each other.
   replication::replicated_table records;
   // Set while this process, which has just started, asks its peers for their records.
--- a/src/gateway/origin_link.cpp
+++ b/src/gateway/origin_link.cpp
@@ -31,8 +31,9 @@
 constexpr duration total_timeout{500};
 constexpr duration tcp_user_timeout{500};
 constexpr std::uint64_t max_message_bytes = 4 * 1024 * 1024;
-/// How long the first event of a stream waits for its keepers.
-constexpr std::chrono::milliseconds max_begin_wait{100};
+/// How long the first event of a stream waits for its keepers and for this VM's declaration.
+constexpr duration max_begin_wait{100};
+constexpr std::chrono::milliseconds declaration_poll_period{5};
 /// A header, since VMs of an earlier release refuse a message with a field that they do not know.
 constexpr std::string_view base_hash_header = "Hawthornnotch-Base-Version";
 
@@ -101,11 +102,25 @@
     co_return;
   }
   const std::shared_ptr<delivery> progress = tell(origin);
-  if (at_base || progress->is_settled()) {
+  if (at_base) {
     co_return;
   }
-  progress->settled.expires_after(max_begin_wait);
-  co_await progress->settled.async_wait(asio::as_tuple(asio::use_awaitable));
+  if (!progress->is_settled()) {
+    progress->settled.expires_after(std::chrono::milliseconds(max_begin_wait.ms));
+    co_await progress->settled.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_await await_declaration(origin.key.service, now + max_begin_wait);
+}
+
+asio::awaitable<void> origin_link::await_declaration(std::string service, time_point end) {
+  asio::steady_timer timer(executor_);
+  time_point now = shared_.time.now();
+  while (now < end && shared_.versions.is_mixed(service, now) &&
+         !shared_.declaration.covers(service, now)) {
+    timer.expires_after(declaration_poll_period);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    now = shared_.time.now();
+  }
 }
 
 void origin_link::on_versions_mixed(std::span<const std::string> services) {
--- a/src/gateway/origin_link.h
+++ b/src/gateway/origin_link.h
@@ -34,7 +34,7 @@
 
   // Records that a stream of this VM is about to begin, before its caller gets the first event. One
   // that does not begin at the base version of its service waits until most of its keepers know of
-  // it, for a short time.
+  // it and this VM has declared that versions are mixed, for a short time.
   boost::asio::awaitable<void> begin_stream(streams::stream_origin origin);
   // Tells the origins of all streams that this VM began, once a service is mixed.
   void on_versions_mixed(std::span<const std::string> services);
@@ -72,6 +72,7 @@
     // Hash of the base version of the service that was asked for.
     std::optional<std::uint64_t> base_hash;
   };
+  boost::asio::awaitable<void> await_declaration(std::string service, time_point end);
   // \returns the progress at the keepers.
   std::shared_ptr<delivery> tell(const streams::stream_origin& origin);
   void flush();
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -36,6 +36,7 @@
 constexpr std::string_view suspicions_feature = "suspicions";
 constexpr std::string_view software_versions_feature = "software-versions";
 constexpr std::string_view records_feature = "records";
+constexpr std::string_view declarations_feature = "declarations";
 /// Number of suspicions in one message; later messages hold the others.
 constexpr std::size_t max_suspicions_per_message = 16;
 /// Number of new records in one message; later messages hold the others.  Each costs the smallest
@@ -50,7 +51,8 @@
   return {{std::string(features_header), std::string(limits_feature)},
           {std::string(features_header), std::string(suspicions_feature)},
           {std::string(features_header), std::string(software_versions_feature)},
-          {std::string(features_header), std::string(records_feature)}};
+          {std::string(features_header), std::string(records_feature)},
+          {std::string(features_header), std::string(declarations_feature)}};
 }
 
 result<relay::exchange_message, relay::codec_failure> decode(std::string_view compressed) {
@@ -124,6 +126,7 @@
       announced.software_versions =
           announced.software_versions || value == software_versions_feature;
       announced.records = announced.records || value == records_feature;
+      announced.declarations = announced.declarations || value == declarations_feature;
     }
   }
   return announced;
@@ -236,6 +239,12 @@
     message.records = shared_.records.records_to_send(max_records_per_message, now);
     message.records_wanted = shared_.wants_records;
   }
+  if (!understood.declarations) {
+    message.from.declares_versions = false;
+    for (relay::peer& each : message.peers) {
+      each.declares_versions = false;
+    }
+  }
   return message;
 }
 
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -57,6 +57,7 @@
     bool suspicions = false;
     bool software_versions = false;
     bool records = false;
+    bool declarations = false;
   };
   static peer_features announced_features(const net::header_list& headers);
   [[nodiscard]] peer_features features_of(const endpoint& peer) const;
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -211,9 +211,8 @@
     query.expected_events = expected_events_;
     query.time_left = time_remaining();
     query.tried = tried_servers_;
-    query.software_version = required_version_;
     query.now = shared_.time.now();
-    auto chosen = shared_.dispatcher.choose(query);
+    auto chosen = choose_server(query);
     if (!chosen) {
       all_paused_ = chosen.last_reason() == dispatch::placement_failure::all_paused;
       version_unavailable_ =
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -82,6 +82,13 @@
   // \param complete whether the server list shows every version in service, or the VMs that would
   // know of another one were reached.
   [[nodiscard]] std::optional<std::string> only_version(bool complete) const;
+  // \returns the version at which a new stream begins if its servers take it; none if it may begin
+  // at any.  Until this VM has declared that versions are mixed, its streams begin at the base
+  // version where they can.
+  [[nodiscard]] std::optional<std::string> undeclared_base() const;
+  // Chooses a server, of the version at which the stream has to go on or may begin.
+  [[nodiscard]] result<dispatch::placement, dispatch::placement_failure> choose_server(
+      dispatch::placement_query query);
   void log_resumption(std::string_view known_by, duration age) const;
   // Called before the first event of the response is forwarded.
   boost::asio::awaitable<void> on_stream_begun();
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -72,6 +72,29 @@
   co_return false;
 }
 
+std::optional<std::string> proxied_request::undeclared_base() const {
+  const time_point now = shared_.time.now();
+  const bool declared = shared_.declaration.covers(service_, now);
+  const bool begins = is_resumable() && !required_version_;
+  return begins && !declared && shared_.versions.is_mixed(service_, now)
+             ? shared_.versions.base(service_)
+             : std::nullopt;
+}
+
+result<dispatch::placement, dispatch::placement_failure> proxied_request::choose_server(
+    dispatch::placement_query query) {
+  query.software_version = required_version_;
+  if (const auto base = undeclared_base()) {
+    query.software_version = *base;
+    auto chosen = shared_.dispatcher.choose(query);
+    if (chosen) {
+      return chosen;
+    }
+    query.software_version.reset();
+  }
+  return shared_.dispatcher.choose(query);
+}
+
 void proxied_request::log_resumption(std::string_view known_by, duration age) const {
   log_event(level::info, "stream_resumed",
             {{"request_id", request_.id},
--- a/src/gateway/store_registration.cpp
+++ b/src/gateway/store_registration.cpp
@@ -109,7 +109,10 @@
 void store_registration::write_entry(std::int64_t lease, std::uint64_t restores_at_call) {
   platform::transaction change;
   const std::string key = std::string(entry_key_prefix) + shared_.settings.vm;
-  change.effects.emplace_back(platform::put{key, relay::encode_peer(shared_.peers.self()), lease});
+  // VMs of an earlier build refuse an entry with a field that they do not know.
+  relay::peer self = shared_.peers.self();
+  self.declares_versions = false;
+  change.effects.emplace_back(platform::put{key, relay::encode_peer(self), lease});
   store_.transact(std::move(change), [this, lease, restores_at_call](auto outcome) {
     if (!outcome) {
       retry(outcome.last_reason().kind);
--- a/src/gateway/stream_records.cpp
+++ b/src/gateway/stream_records.cpp
@@ -17,9 +17,6 @@
 namespace {
 
 constexpr std::string_view record_key_prefix = "hn/streams/";
-constexpr duration renewal_period{20'000};
-/// A record that is no longer renewed outlives all streams.
-constexpr duration lease_ttl = streams::max_stream_age + renewal_period;
 /// Pause after the records could not be read.
 constexpr duration read_retry_period{2'000};
 /// A record holds no more streams than this, the last that began; a value in the store is limited.
@@ -63,13 +60,14 @@
 }
 
 void stream_records::on_store_restored() {
+  trust_.on_restored(shared_.time.now());
   fleet_versions_.on_store_restored();
   drop_record();
 }
 
 void stream_records::drop_record() {
   written_.clear();
-  written_versions_.clear();
+  shared_.declaration.withdraw();
   lease_ = 0;
 }
 
@@ -84,7 +82,7 @@
 
 bool stream_records::update() {
   const time_point now = shared_.time.now();
-  const bool needs_reading = !history_known() || fleet_versions_.needs_reading();
+  const bool needs_reading = !predecessor_known() || fleet_versions_.needs_reading();
   const bool due = !read_tried_at_ || now - *read_tried_at_ >= read_retry_period;
   if (needs_reading && !reading_ && due) {
     read();
@@ -92,14 +90,32 @@
   if (history_known()) {
     shared_.versions.complete({}, now);
   }
-  const bool mixed = history_known() && update_own_record();
+  const bool mixed = predecessor_known() && update_own_record();
   // Versions that have left stay in this VM's record before they leave the fleet's.
-  if (!mixed || written_versions_ == shared_.versions.mixed_services(now)) {
-    fleet_versions_.update();
+  if (!mixed || shared_.declaration.recorded() == shared_.versions.mixed_services(now)) {
+    fleet_versions_.update(records_are_whole());
   }
   return needs_reading || mixed;
 }
 
+bool stream_records::outlived_streams() const {
+  return shared_.time.now() - started_at_ >= streams::max_stream_age;
+}
+
+bool stream_records::predecessor_known() const { return read_at_ || outlived_streams(); }
+
+// After a restore, what VMs declared at one of several versions may be missing; where one version
+// serves alone, there was nothing to declare.
+bool stream_records::records_are_whole() const {
+  const time_point now = shared_.time.now();
+  const auto& list = shared_.servers.newest();
+  if (!list || !shared_.versions.is_complete() || !shared_.peers.all_declare_versions()) {
+    return false;
+  }
+  const bool mixed = !shared_.versions.mixed_services(now).empty();
+  return trust_.is_unbroken(now) || (!mixed && trust_.shows_all_servers(list->read_at));
+}
+
 bool stream_records::update_own_record() {
   const time_point now = shared_.time.now();
   streams::version_sets mixed = shared_.versions.mixed_services(now);
@@ -116,10 +132,11 @@
 
 void stream_records::update_record(streams::version_sets mixed) {
   std::string value = compose(mixed);
-  if (lease_ == 0 || value != written_) {
-    write(std::move(value), std::move(mixed));
-  } else if (shared_.time.now() - renewed_at_ >= renewal_period) {
+  // A write does not renew the lease.
+  if (lease_ != 0 && shared_.declaration.renewal_is_due(shared_.time.now())) {
     renew();
+  } else if (lease_ == 0 || value != written_) {
+    write(std::move(value), std::move(mixed));
   }
 }
 
@@ -148,13 +165,16 @@
     return;
   }
   restores_at_grant_ = shared_.era.restores();
-  store_.grant_lease(lease_ttl, [this, value = std::move(value), versions](auto lease) {
-    if (lease) {
-      put_record(value, versions, *lease);
-    } else {
-      finish_write(failed{lease.last_reason()});
-    }
-  });
+  const time_point called_at = shared_.time.now();
+  store_.grant_lease(streams::declaration_ttl,
+                     [this, called_at, value = std::move(value), versions](auto lease) {
+                       if (lease) {
+                         shared_.declaration.on_leased(called_at);
+                         put_record(value, versions, *lease);
+                       } else {
+                         finish_write(failed{lease.last_reason()});
+                       }
+                     });
 }
 
 void stream_records::put_record(std::string value, streams::version_sets versions,
@@ -169,7 +189,7 @@
     // The number of a lease from before a restore may be another VM's now.
     if (restores_at_grant_ == shared_.era.restores()) {
       written_ = value;
-      written_versions_ = versions;
+      shared_.declaration.on_written(versions);
       lease_ = lease;
     }
     finish_write(ok);
@@ -178,8 +198,10 @@
 
 void stream_records::renew() {
   call_open_ = true;
-  store_.keep_alive(lease_, [this](auto lease) {
+  const time_point called_at = shared_.time.now();
+  store_.keep_alive(lease_, [this, called_at](auto lease) {
     if (lease) {
+      shared_.declaration.on_leased(called_at);
       finish_write(ok);
     } else {
       finish_write(failed{lease.last_reason()});
@@ -190,17 +212,20 @@
 void stream_records::finish_write(const status<platform::platform_failure>& outcome) {
   call_open_ = false;
   if (outcome) {
-    renewed_at_ = shared_.time.now();
     store_streams_.on_success();
     return;
   }
   const platform::failure_kind reason = outcome.last_reason().kind;
-  lease_ = reason == platform::failure_kind::lease_gone ? 0 : lease_;
+  if (reason == platform::failure_kind::lease_gone) {
+    drop_record();
+  }
   store_streams_.on_failure(to_string(reason));
 }
 
 bool stream_records::history_known() const {
-  return read_at_ || shared_.time.now() - started_at_ >= streams::max_stream_age;
+  const auto& list = shared_.servers.newest();
+  const bool listed = list && trust_.shows_all_servers(list->read_at);
+  return shared_.versions.is_complete() || listed || outlived_streams();
 }
 
 asio::awaitable<void> stream_records::refresh() {
@@ -220,14 +245,18 @@
 void stream_records::read() {
   reading_ = true;
   read_tried_at_ = shared_.time.now();
-  store_.read_prefix(std::string(record_key_prefix), [this](auto answer) {
+  const std::uint64_t restores_at_call = shared_.era.restores();
+  store_.read_prefix(std::string(record_key_prefix), [this, restores_at_call](auto answer) {
     reading_ = false;
-    if (answer) {
-      store_streams_.on_success();
+    if (!answer) {
+      store_streams_.on_failure(to_string(answer.last_reason().kind));
+      return;
+    }
+    store_streams_.on_success();
+    // Pages read around a restore may belong to different eras.
+    if (restores_at_call == shared_.era.restores()) {
       add_records(answer->found);
       read_at_ = shared_.time.now();
-    } else {
-      store_streams_.on_failure(to_string(answer.last_reason().kind));
     }
   });
 }
@@ -242,14 +271,21 @@
       mixed.merge(add_record(each));
     }
   }
-  streams::version_sets in_service = fleet_versions_.on_read(of_fleet);
+  streams::stream_record of_all = fleet_versions_.on_read(of_fleet);
   if (read_at_) {
     return;
   }
   const time_point now = shared_.time.now();
+  streams::version_sets& in_service = of_all.recent_versions;
   shared_.versions.inherit(in_service, now);
-  std::erase_if(in_service, [&](const auto& each) { return mixed.contains(each.first); });
-  shared_.versions.complete(in_service, now);
+  trust_.on_first_read({of_fleet != nullptr, of_all.era}, shared_.era.current(), now);
+  if (trust_.is_unbroken(now)) {
+    std::erase_if(in_service, [&](const auto& each) { return mixed.contains(each.first); });
+    shared_.versions.complete(in_service, now);
+  } else {
+    log_event(level::warning, "stream_records_older",
+              {{"era", shared_.era.current()}, {"record_era", of_all.era.value_or(-1)}});
+  }
 }
 
 // The streams of this VM's earlier process stay in its record.
--- a/src/gateway/stream_records.h
+++ b/src/gateway/stream_records.h
@@ -11,6 +11,7 @@
 
 #include "gateway_state.h"
 #include "hawthornnotch/platform/client.h"
+#include "hawthornnotch/streams/record_trust.h"
 #include "hawthornnotch/streams/stream_record.h"
 #include "store_sync.h"
 #include "version_record.h"
@@ -23,6 +24,9 @@
 // kept, for all VMs together. A process reads the records when it starts, and when it is asked for
 // a stream that no other VM knows.
 //
+// The record is also the VM's declaration that its streams may begin at any of these versions: see
+// `streams::version_declaration`.
+//
 // Ownership: refers to the state and the store, which outlive it.  Thread safety: none.
 class stream_records {
  public:
@@ -38,7 +42,8 @@
   // Reads the records into the state, unless this was done a moment ago.
   boost::asio::awaitable<void> refresh();
   // \returns whether `gateway_state::versions` knows all recent versions: this process has read the
-  // records, or has watched the server list for longer than any stream lasts.
+  // records and they are whole, or has watched the server list for longer than any stream lasts, or
+  // for as long as servers need to register again after a restore of the store.
   [[nodiscard]] bool history_known() const;
 
  private:
@@ -50,9 +55,17 @@
   bool update();
   // \returns whether versions are mixed.
   bool update_own_record();
+  // \returns whether what earlier processes of this VM recorded is known, or too old to matter.
+  [[nodiscard]] bool predecessor_known() const;
+  // \returns whether this process has run for longer than any stream lasts.
+  [[nodiscard]] bool outlived_streams() const;
+  // \returns whether no record is missing that a process which starts would need.
+  [[nodiscard]] bool records_are_whole() const;
   void update_record(streams::version_sets mixed);
   // The lease runs out by itself, and its record with it.
   void drop_record();
+  // Records that a call granted or renewed the lease.  \param called_at when it was made.
+  void on_leased(std::int64_t lease, time_point called_at);
   // Called at the end of each call that writes.
   void finish_write(const status<platform::platform_failure>& outcome);
   [[nodiscard]] std::string compose(streams::version_sets mixed) const;
@@ -74,12 +87,11 @@
   boost::asio::steady_timer timer_;
   version_record fleet_versions_;
   time_point started_at_;
+  streams::record_trust trust_;
   // The record in the store, and its lease; empty and 0 while there is none.
   std::string written_;
-  streams::version_sets written_versions_;
   std::int64_t lease_ = 0;
   std::uint64_t restores_at_grant_ = 0;
-  time_point renewed_at_;
   time_point called_at_;
   bool call_open_ = false;
   std::optional<time_point> read_at_;
--- a/src/gateway/version_record.cpp
+++ b/src/gateway/version_record.cpp
@@ -24,18 +24,18 @@
 
 std::string_view version_record::key() { return record_key; }
 
-streams::version_sets version_record::on_read(const platform::key_value* found) {
+streams::stream_record version_record::on_read(const platform::key_value* found) {
   known_record read;
   if (found != nullptr) {
     read.mod_revision = found->mod_revision;
     if (auto record = streams::decode_stream_record(found->value)) {
-      read.versions = std::move(record->recent_versions);
+      read.content = std::move(*record);
     } else {
       log_event(level::warning, "stream_record_unreadable", {{"key", found->key}});
     }
   }
   known_ = read;
-  return std::move(read.versions);
+  return std::move(read.content);
 }
 
 bool version_record::is_writer() const {
@@ -51,27 +51,33 @@
     return std::nullopt;
   }
   streams::version_sets versions = streams::versions_of(list->entries);
-  versions.insert(known_->versions.begin(), known_->versions.end());
+  versions.insert(known_->content.recent_versions.begin(), known_->content.recent_versions.end());
   return versions;
 }
 
-void version_record::update() {
+void version_record::update(bool records_are_whole) {
   const time_point now = shared_.time.now();
   if (!known_ || call_open_ || now - tried_at_ < retry_pause || !is_writer()) {
     return;
   }
   auto versions = versions_in_service();
-  if (versions && *versions != known_->versions) {
+  if (!versions) {
+    return;
+  }
+  streams::stream_record record = known_->content;
+  record.recent_versions = std::move(*versions);
+  if (records_are_whole) {
+    record.era = shared_.era.current();
+  }
+  if (record != known_->content) {
     tried_at_ = now;
-    write(std::move(*versions));
+    write(std::move(record));
   }
 }
 
-void version_record::write(streams::version_sets versions) {
+void version_record::write(streams::stream_record record) {
   call_open_ = true;
   const std::string name(record_key);
-  streams::stream_record record;
-  record.recent_versions = versions;
   platform::transaction change;
   if (known_->mod_revision == 0) {
     change.conditions.emplace_back(platform::must_be_absent{name});
@@ -82,18 +88,18 @@
   change.read_on_conflict.push_back(name);
   const std::uint64_t restores_at_call = shared_.era.restores();
   store_.transact(std::move(change),
-                  [this, restores_at_call, versions = std::move(versions)](const auto& outcome) {
+                  [this, restores_at_call, record = std::move(record)](const auto& outcome) {
                     call_open_ = false;
                     // What was written may be gone; the record is read again.
                     if (restores_at_call == shared_.era.restores()) {
-                      on_written(outcome, versions);
+                      on_written(outcome, record);
                     }
                   });
 }
 
 void version_record::on_written(
     const result<platform::transaction_outcome, platform::platform_failure>& outcome,
-    streams::version_sets versions) {
+    streams::stream_record record) {
   if (!outcome) {
     store_versions_.on_failure(to_string(outcome.last_reason().kind));
     return;
@@ -103,8 +109,9 @@
     on_read(outcome->current.empty() ? nullptr : &outcome->current.front());
     return;
   }
-  log_event(level::info, "versions_recorded", {{"services", versions.size()}});
-  known_ = known_record{outcome->revision, std::move(versions)};
+  log_event(level::info, "versions_recorded",
+            {{"services", record.recent_versions.size()}, {"era", record.era.value_or(-1)}});
+  known_ = known_record{outcome->revision, std::move(record)};
 }
 
 }  // namespace hawthornnotch::gateway::internal
--- a/src/gateway/version_record.h
+++ b/src/gateway/version_record.h
@@ -9,6 +9,7 @@
 
 #include "gateway_state.h"
 #include "hawthornnotch/platform/client.h"
+#include "hawthornnotch/streams/stream_record.h"
 #include "hawthornnotch/streams/version_history.h"
 #include "store_sync.h"
 
@@ -21,6 +22,10 @@
 //
 // A service that is not listed keeps its versions: its servers may come back as others.
 //
+// The record names the store's era while this VM vouches that the store holds all that VMs have
+// written there (`streams::record_trust`): a process that finds it in another era knows that
+// records are missing.
+//
 // Ownership: refers to the state and the store, which outlive it.  Thread safety: none.
 class version_record {
  public:
@@ -29,29 +34,30 @@
 
   [[nodiscard]] static std::string_view key();
   // Takes the record as a reading of the store shows it.  \param found null if there is none.
-  // \returns the versions in the record.
-  streams::version_sets on_read(const platform::key_value* found);
+  // \returns the record; empty if there is none or it can't be read.
+  streams::stream_record on_read(const platform::key_value* found);
   // The record may be an older one now.
   void on_store_restored() { known_.reset(); }
   // \returns whether this VM writes, and has not read the record since a restore of the store.
   [[nodiscard]] bool needs_reading() const { return !known_ && is_writer(); }
-  // Writes the record if the versions in service differ from it and the last attempt was not a
+  // Writes the record if it differs from what is to be recorded and the last attempt was not a
   // moment ago.
-  void update();
+  // \param records_are_whole whether no record is missing that a process which starts would need.
+  void update(bool records_are_whole);
 
  private:
   struct known_record {
     // 0 while there is none.
     std::int64_t mod_revision = 0;
-    streams::version_sets versions;
+    streams::stream_record content;
   };
   // \returns whether it is this VM that writes for its failure domain.
   [[nodiscard]] bool is_writer() const;
   // \returns the versions to record; none while the server list may be older than the record.
   [[nodiscard]] std::optional<streams::version_sets> versions_in_service() const;
-  void write(streams::version_sets versions);
+  void write(streams::stream_record record);
   void on_written(const result<platform::transaction_outcome, platform::platform_failure>& outcome,
-                  streams::version_sets versions);
+                  streams::stream_record record);
 
   gateway_state& shared_;
   platform::key_value_store& store_;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -44,13 +44,17 @@
 }
 
 json::object to_json(const peer& each) {
-  return {{"vm", each.vm},
-          {"domain", each.failure_domain},
-          {"address", to_text(each.address)},
-          {"incarnation", each.incarnation},
-          {"heartbeat", each.heartbeat},
-          {"leaving", each.leaving},
-          {"work", to_array(each.work)}};
+  json::object out{{"vm", each.vm},
+                   {"domain", each.failure_domain},
+                   {"address", to_text(each.address)},
+                   {"incarnation", each.incarnation},
+                   {"heartbeat", each.heartbeat},
+                   {"leaving", each.leaving},
+                   {"work", to_array(each.work)}};
+  if (each.declares_versions) {
+    out["declares"] = true;
+  }
+  return out;
 }
 
 // Whole milliseconds are precise enough and keep messages short.
@@ -124,6 +128,7 @@
   out.incarnation = reader->text("incarnation");
   out.heartbeat = static_cast<std::uint64_t>(reader->integer("heartbeat", any_count));
   out.leaving = reader->boolean("leaving");
+  out.declares_versions = reader->boolean("declares", false);
   for (const json::object* work : reader->objects("work", true)) {
     out.work.push_back(read_work(*work, good));
   }
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -68,7 +68,8 @@
   return &known;
 }
 
-// Forwarded state may omit a peer's work; the last known work is then kept.
+// Forwarded state may omit a peer's work and, if it passed a VM of an earlier build, what the peer
+// declares; the last known is then kept.
 void peer_set::update_peer(known_peer& known, const peer& about, bool direct, time_point now) {
   const bool same_incarnation = known.about.incarnation == about.incarnation;
   if (!same_incarnation && !known.about.incarnation.empty()) {
@@ -76,7 +77,9 @@
   }
   const bool has_work = direct || !about.work.empty() || !same_incarnation;
   std::vector<server_work> previous_work = std::move(known.about.work);
+  const bool declared = same_incarnation && known.about.declares_versions;
   known.about = about;
+  known.about.declares_versions = about.declares_versions || declared;
   known.heartbeat_at = now;
   if (has_work) {
     known.work_at = now;
@@ -239,6 +242,11 @@
   return hashes;
 }
 
+bool peer_set::all_declare_versions() const {
+  return std::all_of(peers_.begin(), peers_.end(),
+                     [](const auto& each) { return each.second.about.declares_versions; });
+}
+
 keeper_set peer_set::keepers_of(std::uint64_t key, std::size_t count) const {
   struct ranked_vm {
     std::uint64_t order = 0;
--- a/src/streams/stream_record.cpp
+++ b/src/streams/stream_record.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::string_view versions_key = "versions";
 constexpr std::string_view streams_key = "streams";
+constexpr std::string_view era_key = "era";
 
 // Reads nested objects without exceptions; `good` becomes false where a value has another type.
 class record_reader {
@@ -25,6 +26,12 @@
     good_ = good_ && fits;
     return fits ? value->get_object() : none;
   }
+  // \returns none if there is no value.
+  std::optional<std::int64_t> integer(const json::value* value) {
+    const bool fits = value == nullptr || value->is_int64();
+    good_ = good_ && fits;
+    return value != nullptr && fits ? std::optional(value->get_int64()) : std::nullopt;
+  }
   std::vector<std::string> texts(const json::value& value) {
     std::vector<std::string> out;
     good_ = good_ && value.is_array();
@@ -78,8 +85,11 @@
     }
     streams[service] = std::move(by_version);
   }
-  return json::serialize(
-      json::object{{versions_key, std::move(versions)}, {streams_key, std::move(streams)}});
+  json::object out{{versions_key, std::move(versions)}, {streams_key, std::move(streams)}};
+  if (record.era) {
+    out[era_key] = *record.era;
+  }
+  return json::serialize(out);
 }
 
 result<stream_record, record_failure> decode_stream_record(std::string_view text) {
@@ -105,6 +115,7 @@
       }
     }
   }
+  out.era = reader.integer(object->if_contains(era_key));
   if (!good) {
     return failed{record_failure::malformed};
   }
--- a/tests/gateway/version_record_test.cpp
+++ b/tests/gateway/version_record_test.cpp
@@ -75,10 +75,10 @@
   writer vm;
   vm.read(10);
   vm.list("v0", 9);
-  vm.record.update();
+  vm.record.update(false);
   CPPUNIT_ASSERT(vm.store.calls.empty());
   vm.list("v2", 11);
-  vm.record.update();
+  vm.record.update(false);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.store.calls.size());
 }
 
@@ -86,7 +86,7 @@
   writer vm;
   vm.read(10);
   vm.list("v2", 11);
-  vm.record.update();
+  vm.record.update(false);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.store.calls.size());
   CPPUNIT_ASSERT_EQUAL(std::int64_t{10}, vm.expected_revision());
 }
@@ -95,7 +95,7 @@
   writer vm;
   (void)vm.record.on_read(nullptr);
   vm.list("v1", 11);
-  vm.record.update();
+  vm.record.update(false);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.store.calls.size());
   CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, vm.expected_revision());
 }
@@ -104,7 +104,7 @@
   writer vm;
   vm.read(10);
   vm.list("v1", 11);
-  vm.record.update();
+  vm.record.update(false);
   CPPUNIT_ASSERT(vm.store.calls.empty());
 }
 
@@ -113,12 +113,12 @@
   writer vm;
   vm.read(10);
   vm.list("v2", 11);
-  vm.record.update();
+  vm.record.update(false);
   platform::transaction_outcome conflict;
   conflict.current.push_back({std::string(version_record::key()), std::string(text_v1), 12, 0});
   vm.store.calls.back().done(std::move(conflict));
   std::this_thread::sleep_for(ranking_time);
-  vm.record.update();
+  vm.record.update(false);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vm.store.calls.size());
 }
 
