Streams: what a lost VM never declared, it never began

Cause: only a stream's keepers could prove that it began before the release, two of three, and two were lost. When they are back they vouch no more, as versions are mixed by then.

Change: since a VM declares mixed versions in the store before its first stream at a newer one, a VM without a declaration is excluded, lost or not. A stream that nobody knows goes on at the base version if each VM that declared says that it knows all it began at other versions, and not this one. This needs a store that has lost nothing for a stream's longest life, a reading of the records asked for after the caller came, and no VM of the build before in memory; 32 VMs at most are asked. The answer is in a header, since the build before refuses a message with a new field.

--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -102,6 +102,10 @@
   /// \returns whether all remembered peers, dead ones included, declare the versions of their
   /// streams (`peer::declares_versions`).
   [[nodiscard]] bool all_declare_versions() const;
+  /// \returns whether any other entry VM is remembered.
+  [[nodiscard]] bool knows_others() const { return !peers_.empty(); }
+  /// \returns the address of a remembered peer, which may be dead; none if it is not known.
+  [[nodiscard]] std::optional<endpoint> address_of(std::string_view vm) const;
   /// \returns when a peer was last found ended, restarted, leaving or out of reach, by
   /// `take_changes` or an exchange: its callers may have come to this VM; none so far.
   [[nodiscard]] std::optional<time_point> disrupted_at() const { return disrupted_at_; }
--- a/include/hawthornnotch/streams/version_declaration.h
+++ b/include/hawthornnotch/streams/version_declaration.h
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNNOTCH_STREAMS_VERSION_DECLARATION_H_
 #define HAWTHORNNOTCH_STREAMS_VERSION_DECLARATION_H_
 
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -30,6 +31,9 @@
 /// Ownership: a value.  Thread safety: none.
 class version_declaration {
  public:
+  /// Takes the record that the VM's earlier process left, when the records are first read.
+  /// \param recorded the mixed services in that record; none if the store may have lost it.
+  void on_predecessor(std::optional<version_sets> recorded);
   /// Records that the lease was granted or renewed.  \param called_at when the call was made.
   void on_leased(time_point called_at) { leased_at_ = called_at; }
   /// Records that the store holds this record.
@@ -44,10 +48,14 @@
   [[nodiscard]] bool renewal_is_due(time_point now) const {
     return now - leased_at_ >= declaration_renewal;
   }
+  /// \returns whether each stream of the service that this VM began at another version than the
+  /// base one is known to this process; false if an earlier process may have begun one.
+  [[nodiscard]] bool knows_own_streams(std::string_view service) const;
 
  private:
   time_point leased_at_;
   version_sets recorded_;
+  std::optional<version_sets> predecessor_;
 };
 
 }  // namespace hawthornnotch::streams
--- a/src/gateway/origin_link.cpp
+++ b/src/gateway/origin_link.cpp
@@ -34,8 +34,11 @@
 /// How long the first event of a stream waits for its keepers and for this VM's declaration.
 constexpr duration max_begin_wait{100};
 constexpr std::chrono::milliseconds declaration_poll_period{5};
-/// A header, since VMs of an earlier release refuse a message with a field that they do not know.
+/// Headers, since VMs of an earlier release refuse a message with a field that they do not know.
 constexpr std::string_view base_hash_header = "Hawthornnotch-Base-Version";
+constexpr std::string_view knows_own_header = "Hawthornnotch-Knows-Own-Streams";
+/// A stream is not looked for at more VMs than this.
+constexpr std::size_t max_vms_asked = 32;
 
 std::uint64_t placement_of(const streams::stream_key& key) {
   return stable_hash(key.attempt, stable_hash(key.workspace));
@@ -88,6 +91,8 @@
   bool all_answered = true;
   // By the hash of the base version, the keepers that named it and do not know the stream.
   std::map<std::uint64_t, std::size_t> bases;
+  // VMs that do not know the stream and know all that they began.
+  std::size_t excluded = 0;
   asio::steady_timer answered;
 };
 
@@ -189,20 +194,66 @@
     co_return search_result{std::move(known), false, std::nullopt};
   }
   const auto question = std::make_shared<inquiry>(key, executor_);
-  question->answered.expires_at(std::chrono::steady_clock::time_point::max());
   question->keepers = shared_.peers.keepers_of(placement_of(key), keepers_per_stream);
-  for (const endpoint& keeper : question->keepers.peers) {
-    ++question->open;
-    asio::co_spawn(executor_, ask(keeper, question), asio::detached);
+  co_await ask_all(question->keepers.peers, question);
+  const bool asked = !question->keepers.peers.empty();
+  co_return search_result{question->found, asked && question->all_answered, agreed_base(*question)};
+}
+
+asio::awaitable<origin_link::search_result> origin_link::find_among(streams::stream_key key,
+                                                                    std::set<std::string> vms) {
+  std::vector<endpoint> addresses;
+  for (const std::string& vm : vms) {
+    if (const auto address = shared_.peers.address_of(vm)) {
+      addresses.push_back(*address);
+    }
   }
-  const bool asked = question->open > 0;
-  if (asked) {
-    co_await question->answered.async_wait(asio::as_tuple(asio::use_awaitable));
+  const bool all_known = addresses.size() == vms.size();
+  if (!all_known || addresses.size() > max_vms_asked || !knows_own_streams(key.service)) {
+    co_return search_result{};
   }
-  if (question->found) {
-    shared_.origins.record(*question->found, streams::origin_source::peer, shared_.time.now());
+  const auto question = std::make_shared<inquiry>(std::move(key), executor_);
+  co_await ask_all(addresses, question);
+  search_result out{question->found, question->all_answered, std::nullopt};
+  if (question->excluded == addresses.size()) {
+    out.base = undisputed_base(*question);
   }
-  co_return search_result{question->found, asked && question->all_answered, agreed_base(*question)};
+  co_return out;
+}
+
+asio::awaitable<void> origin_link::ask_all(std::vector<endpoint> vms,
+                                           std::shared_ptr<inquiry> about) {
+  about->open = vms.size();
+  about->answered.expires_at(std::chrono::steady_clock::time_point::max());
+  for (const endpoint& vm : vms) {
+    asio::co_spawn(executor_, ask(vm, about), asio::detached);
+  }
+  if (!vms.empty()) {
+    co_await about->answered.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  if (about->found) {
+    shared_.origins.record(*about->found, streams::origin_source::peer, shared_.time.now());
+  }
+}
+
+bool origin_link::knows_own_streams(const std::string& service) const {
+  return shared_.origins.is_complete(shared_.time.now()) &&
+         shared_.declaration.knows_own_streams(service);
+}
+
+std::optional<std::string> origin_link::undisputed_base(const inquiry& answered) const {
+  const std::string& service = answered.key.service;
+  const std::optional<std::string> own = shared_.versions.base(service);
+  const std::size_t named = answered.bases.size();
+  std::optional<std::string> agreed;
+  for (const std::string& version : shared_.versions.recent(service, shared_.time.now())) {
+    const bool by_peers = answered.bases.contains(stable_hash(version));
+    const bool by_all = (named == 0 && own == version) || (named == 1 && by_peers);
+    if (by_all && (!own || own == version)) {
+      agreed = version;
+    }
+  }
+  return agreed;
 }
 
 std::optional<std::string> origin_link::kept_base(std::string_view service) const {
@@ -235,8 +286,11 @@
   const auto* origins = answer ? &answer->message.origins : nullptr;
   if (origins != nullptr && !origins->empty() && origins->front().key == about->key) {
     about->found = origins->front();
-  } else if (answer && answer->base_hash) {
-    ++about->bases[*answer->base_hash];
+  } else if (answer) {
+    about->excluded += answer->knows_own_streams ? 1 : 0;
+    if (answer->base_hash) {
+      ++about->bases[*answer->base_hash];
+    }
   }
   if (about->found || about->open == 0) {
     about->answered.cancel();
@@ -266,7 +320,18 @@
     observe::log_event(observe::level::debug, "origins_unreadable", {{"peer", to.address}});
     co_return std::nullopt;
   }
-  co_return peer_answer{std::move(*answer), parse_hash(response->header(base_hash_header))};
+  co_return peer_answer{std::move(*answer), parse_hash(response->header(base_hash_header)),
+                        response->header(knows_own_header).has_value()};
+}
+
+void origin_link::add_own_knowledge(const std::string& service,
+                                    net::http_response& response) const {
+  if (const auto base = kept_base(service)) {
+    response.headers.emplace_back(base_hash_header, std::to_string(stable_hash(*base)));
+  }
+  if (knows_own_streams(service)) {
+    response.headers.emplace_back(knows_own_header, "1");
+  }
 }
 
 bool origin_link::is_for_origins(const net::http_request& request) {
@@ -290,10 +355,8 @@
       }
     }
     response.body = streams::encode(answer);
-    const auto base =
-        message->questions.empty() ? std::nullopt : kept_base(message->questions.front().service);
-    if (base) {
-      response.headers.emplace_back(base_hash_header, std::to_string(stable_hash(*base)));
+    if (!message->questions.empty()) {
+      add_own_knowledge(message->questions.front().service, response);
     }
   }
   std::ignore = co_await writer.send(std::move(response));
--- a/src/gateway/origin_link.h
+++ b/src/gateway/origin_link.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -49,6 +50,11 @@
   };
   // Asks the stream's keepers if this VM does not know its origin, for a short time.
   boost::asio::awaitable<search_result> find(streams::stream_key key);
+  // Asks the VMs that may have begun the stream at another version than the base one: if all are
+  // reached and neither they nor this VM began it, it began at the base version.
+  // \returns the origin or the base version, if either is proved.
+  boost::asio::awaitable<search_result> find_among(streams::stream_key key,
+                                                   std::set<std::string> vms);
   // \returns whether a request on the peers' port is for `handle`.
   [[nodiscard]] static bool is_for_origins(const net::http_request& request);
   // Serves another VM's message.  Answers 400 if it can't be decoded.
@@ -71,6 +77,8 @@
     streams::origin_message message;
     // Hash of the base version of the service that was asked for.
     std::optional<std::uint64_t> base_hash;
+    // Whether the VM knows all streams of the service that it began at other versions.
+    bool knows_own_streams = false;
   };
   boost::asio::awaitable<void> await_declaration(std::string service, time_point end);
   // \returns the progress at the keepers.
@@ -82,6 +90,15 @@
       const endpoint& to, const streams::origin_message& message);
   // \returns the base version of the service, if this VM would know of each stream that it keeps.
   [[nodiscard]] std::optional<std::string> kept_base(std::string_view service) const;
+  // \returns whether this VM knows each stream of the service that it, its earlier processes
+  // included, began at another version than the base one.
+  [[nodiscard]] bool knows_own_streams(const std::string& service) const;
+  // \returns the base version, if no VM that was asked names another one.
+  [[nodiscard]] std::optional<std::string> undisputed_base(const inquiry& answered) const;
+  // Puts the question to these VMs and waits until the first knows, or all have answered.
+  boost::asio::awaitable<void> ask_all(std::vector<endpoint> vms, std::shared_ptr<inquiry> about);
+  // Adds to an answer what this VM can tell of streams of the service that it does not know.
+  void add_own_knowledge(const std::string& service, net::http_response& response) const;
   // \returns the base version that enough of the keepers name.
   [[nodiscard]] std::optional<std::string> agreed_base(const inquiry& answered) const;
 
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -89,7 +89,11 @@
   // Chooses a server, of the version at which the stream has to go on or may begin.
   [[nodiscard]] result<dispatch::placement, dispatch::placement_failure> choose_server(
       dispatch::placement_query query);
+  // Finds that the stream began at the base version, since no VM that may have begun it at another
+  // one did.  \returns false if that is not proved.
+  boost::asio::awaitable<bool> find_by_exclusion();
   void log_resumption(std::string_view known_by, duration age) const;
+  void log_refusal(bool peers_answered) const;
   // Called before the first event of the response is forwarded.
   boost::asio::awaitable<void> on_stream_begun();
   // Called after the whole response was forwarded.
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -28,7 +28,7 @@
 }
 
 asio::awaitable<std::optional<streams::stream_origin>> proxied_request::find_recorded_origin() {
-  co_await resumption_.records.refresh();
+  co_await resumption_.records.refresh(arrived_at_);
   co_return shared_.origins.find(stream_key_of(request_.resumed_attempt), shared_.time.now());
 }
 
@@ -60,6 +60,32 @@
     log_resumption("base_version", duration{-1});
     co_return true;
   }
+  const bool excluded = co_await find_by_exclusion();
+  if (excluded) {
+    co_return true;
+  }
+  log_refusal(search.peers_answered);
+  co_return false;
+}
+
+asio::awaitable<bool> proxied_request::find_by_exclusion() {
+  const auto vms = resumption_.records.possible_beginners(service_, arrived_at_);
+  if (!vms) {
+    co_return false;
+  }
+  auto search =
+      co_await resumption_.origins.find_among(stream_key_of(request_.resumed_attempt), *vms);
+  if (search.found) {
+    required_version_ = search.found->software_version;
+    log_resumption("record", search.found->age);
+  } else if (search.base) {
+    required_version_ = std::move(search.base);
+    log_resumption("exclusion", duration{-1});
+  }
+  co_return required_version_.has_value();
+}
+
+void proxied_request::log_refusal(bool peers_answered) const {
   const std::set<std::string> recent = shared_.versions.recent(service_, shared_.time.now());
   log_event(level::info, "resume_refused",
             {{"request_id", request_.id},
@@ -67,9 +93,8 @@
              {"service", service_},
              {"recent_versions", recent.size()},
              {"history_known", resumption_.records.history_known()},
-             {"peers_answered", search.peers_answered},
+             {"peers_answered", peers_answered},
              {"list_age_ms", shared_.servers.age(shared_.time.now()).value_or(duration{-1}).ms}});
-  co_return false;
 }
 
 std::optional<std::string> proxied_request::undeclared_base() const {
--- a/src/gateway/stream_records.cpp
+++ b/src/gateway/stream_records.cpp
@@ -22,6 +22,7 @@
 /// A record holds no more streams than this, the last that began; a value in the store is limited.
 constexpr std::size_t max_recorded_streams = 8'000;
 constexpr std::chrono::milliseconds check_period{50};
+constexpr duration read_interval_per_vm{4};
 /// While nothing is to be read and versions are not mixed.
 constexpr std::chrono::milliseconds idle_check_period{500};
 constexpr duration min_call_interval{250};
@@ -76,6 +77,11 @@
   return std::max(min_call_interval, call_interval_per_vm * vms);
 }
 
+duration stream_records::read_interval() const {
+  const auto vms = static_cast<std::int64_t>(shared_.peers.member_count());
+  return std::max(min_call_interval, read_interval_per_vm * vms);
+}
+
 std::string stream_records::own_key() const {
   return std::string(record_key_prefix) + shared_.settings.vm;
 }
@@ -90,6 +96,9 @@
   if (history_known()) {
     shared_.versions.complete({}, now);
   }
+  if (outlived_streams()) {
+    shared_.declaration.on_predecessor(streams::version_sets{});
+  }
   const bool mixed = predecessor_known() && update_own_record();
   // Versions that have left stay in this VM's record before they leave the fleet's.
   if (!mixed || shared_.declaration.recorded() == shared_.versions.mixed_services(now)) {
@@ -228,64 +237,99 @@
   return shared_.versions.is_complete() || listed || outlived_streams();
 }
 
-asio::awaitable<void> stream_records::refresh() {
-  const time_point now = shared_.time.now();
-  const bool due = !read_tried_at_ || now - *read_tried_at_ >= call_interval();
-  if (!reading_ && due) {
-    read();
-  }
-  const time_point end = now + max_read_wait;
+asio::awaitable<void> stream_records::refresh(time_point since) {
+  const time_point end = shared_.time.now() + max_read_wait;
   asio::steady_timer timer(executor_);
-  while (reading_ && shared_.time.now() < end) {
+  time_point now = shared_.time.now();
+  while (!declarations_.is_read_since(since) && now < end) {
+    const bool tried = read_tried_at_ && *read_tried_at_ >= since;
+    if (tried && !reading_) {
+      break;
+    }
+    const bool due = !read_tried_at_ || now - *read_tried_at_ >= read_interval();
+    if (!reading_ && due) {
+      read();
+    }
     timer.expires_after(read_poll_period);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    now = shared_.time.now();
   }
 }
 
+// A VM of an earlier build may have begun streams without a declaration; whether a VM that was
+// never heard of is one is not known.
+std::optional<std::set<std::string>> stream_records::possible_beginners(std::string_view service,
+                                                                        time_point since) const {
+  const bool complete = declarations_.is_read_since(since) &&
+                        trust_.is_unbroken(shared_.time.now()) && shared_.peers.knows_others() &&
+                        shared_.peers.all_declare_versions();
+  if (!complete) {
+    return std::nullopt;
+  }
+  std::set<std::string> vms = declarations_.declarers(service);
+  vms.erase(shared_.settings.vm);
+  return vms;
+}
+
 void stream_records::read() {
   reading_ = true;
-  read_tried_at_ = shared_.time.now();
+  const time_point called_at = shared_.time.now();
+  read_tried_at_ = called_at;
   const std::uint64_t restores_at_call = shared_.era.restores();
-  store_.read_prefix(std::string(record_key_prefix), [this, restores_at_call](auto answer) {
-    reading_ = false;
-    if (!answer) {
-      store_streams_.on_failure(to_string(answer.last_reason().kind));
-      return;
-    }
-    store_streams_.on_success();
-    // Pages read around a restore may belong to different eras.
-    if (restores_at_call == shared_.era.restores()) {
-      add_records(answer->found);
-      read_at_ = shared_.time.now();
-    }
-  });
+  store_.read_prefix(std::string(record_key_prefix),
+                     [this, called_at, restores_at_call](auto answer) {
+                       reading_ = false;
+                       if (!answer) {
+                         store_streams_.on_failure(to_string(answer.last_reason().kind));
+                         return;
+                       }
+                       store_streams_.on_success();
+                       // Pages read around a restore may belong to different eras.
+                       if (restores_at_call == shared_.era.restores()) {
+                         add_records(answer->found, called_at);
+                         read_at_ = shared_.time.now();
+                       }
+                     });
 }
 
-void stream_records::add_records(std::span<const platform::key_value> records) {
+void stream_records::add_records(std::span<const platform::key_value> records,
+                                 time_point called_at) {
   const platform::key_value* of_fleet = nullptr;
-  streams::version_sets mixed;
+  std::map<std::string, streams::version_sets> by_vm;
   for (const platform::key_value& each : records) {
     if (each.key == version_record::key()) {
       of_fleet = &each;
     } else {
-      mixed.merge(add_record(each));
+      by_vm.emplace(each.key.substr(record_key_prefix.size()), add_record(each));
     }
   }
-  streams::stream_record of_all = fleet_versions_.on_read(of_fleet);
-  if (read_at_) {
-    return;
+  const streams::stream_record fleet = fleet_versions_.on_read(of_fleet);
+  if (!read_at_) {
+    begin_history(of_fleet != nullptr ? &fleet : nullptr, by_vm);
   }
+  declarations_.on_read(std::move(by_vm), called_at);
+}
+
+void stream_records::begin_history(const streams::stream_record* of_fleet,
+                                   const std::map<std::string, streams::version_sets>& by_vm) {
   const time_point now = shared_.time.now();
-  streams::version_sets& in_service = of_all.recent_versions;
+  const std::optional<std::int64_t> era = of_fleet != nullptr ? of_fleet->era : std::nullopt;
+  streams::version_sets in_service =
+      of_fleet != nullptr ? of_fleet->recent_versions : streams::version_sets{};
   shared_.versions.inherit(in_service, now);
-  trust_.on_first_read({of_fleet != nullptr, of_all.era}, shared_.era.current(), now);
-  if (trust_.is_unbroken(now)) {
-    std::erase_if(in_service, [&](const auto& each) { return mixed.contains(each.first); });
-    shared_.versions.complete(in_service, now);
-  } else {
+  trust_.on_first_read({of_fleet != nullptr, era}, shared_.era.current(), now);
+  if (!trust_.is_unbroken(now)) {
     log_event(level::warning, "stream_records_older",
-              {{"era", shared_.era.current()}, {"record_era", of_all.era.value_or(-1)}});
+              {{"era", shared_.era.current()}, {"record_era", era.value_or(-1)}});
+    return;
+  }
+  for (const auto& record : by_vm) {
+    const streams::version_sets& mixed = record.second;
+    std::erase_if(in_service, [&](const auto& each) { return mixed.contains(each.first); });
   }
+  shared_.versions.complete(in_service, now);
+  const auto own = by_vm.find(shared_.settings.vm);
+  shared_.declaration.on_predecessor(own == by_vm.end() ? streams::version_sets{} : own->second);
 }
 
 // The streams of this VM's earlier process stay in its record.
--- a/src/gateway/stream_records.h
+++ b/src/gateway/stream_records.h
@@ -5,12 +5,16 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include "gateway_state.h"
 #include "hawthornnotch/platform/client.h"
+#include "hawthornnotch/streams/declaration_table.h"
 #include "hawthornnotch/streams/record_trust.h"
 #include "hawthornnotch/streams/stream_record.h"
 #include "store_sync.h"
@@ -39,8 +43,12 @@
   void on_versions_mixed() { schedule(); }
   // What was written may be gone, the lease too.
   void on_store_restored();
-  // Reads the records into the state, unless this was done a moment ago.
-  boost::asio::awaitable<void> refresh();
+  // Waits until the records were read into the state since `since`, but not for long.
+  boost::asio::awaitable<void> refresh(time_point since);
+  // \returns the other VMs that may have begun streams of the service at another version than the
+  // base one before `since`; none if declarations may have been lost or were not read since.
+  [[nodiscard]] std::optional<std::set<std::string>> possible_beginners(std::string_view service,
+                                                                        time_point since) const;
   // \returns whether `gateway_state::versions` knows all recent versions: this process has read the
   // records and they are whole, or has watched the server list for longer than any stream lasts, or
   // for as long as servers need to register again after a restore of the store.
@@ -73,12 +81,17 @@
   void put_record(std::string value, streams::version_sets versions, std::int64_t lease);
   void renew();
   void read();
-  void add_records(std::span<const platform::key_value> records);
+  void add_records(std::span<const platform::key_value> records, time_point called_at);
   // Takes the record of one VM.  \returns the versions of the services that were mixed by it.
   streams::version_sets add_record(const platform::key_value& found);
-  // \returns the interval between writes, and between reads: in a large fleet each VM makes few
-  // calls, so that all together stay within the store's rate.
+  // Called at the first reading.  \param by_vm the mixed services in the record of each VM.
+  void begin_history(const streams::stream_record* of_fleet,
+                     const std::map<std::string, streams::version_sets>& by_vm);
+  // \returns the interval between writes: in a large fleet each VM makes few calls, so that all
+  // together stay within the store's rate.
   [[nodiscard]] duration call_interval() const;
+  // \returns the interval between reads for callers.
+  [[nodiscard]] duration read_interval() const;
   [[nodiscard]] std::string own_key() const;
 
   gateway_state& shared_;
@@ -88,6 +101,7 @@
   version_record fleet_versions_;
   time_point started_at_;
   streams::record_trust trust_;
+  streams::declaration_table declarations_;
   // The record in the store, and its lease; empty and 0 while there is none.
   std::string written_;
   std::int64_t lease_ = 0;
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -247,6 +247,11 @@
                      [](const auto& each) { return each.second.about.declares_versions; });
 }
 
+std::optional<endpoint> peer_set::address_of(std::string_view vm) const {
+  const auto found = peers_.find(vm);
+  return found == peers_.end() ? std::nullopt : std::optional(found->second.about.address);
+}
+
 keeper_set peer_set::keepers_of(std::uint64_t key, std::size_t count) const {
   struct ranked_vm {
     std::uint64_t order = 0;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -107,7 +107,7 @@
   settings.readiness = any_port;
   settings.peers = any_port;
   settings.metrics = any_port;
-  settings.store = store_.address();
+  settings.store = store_address_.value_or(store_.address());
   settings.retries = retries_;
   settings.startup_hold = startup_hold_;
   settings.stop_grace = stop_grace_;
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -200,6 +200,8 @@
   void set_duties(gateway::duty_settings duties) { duties_ = duties; }
   // Connects to servers and peers through this client; call before `start`.
   void connect_through(std::unique_ptr<net::http_client> http) { http_ = std::move(http); }
+  // Uses the store of another fixture, which outlives this one; call before `start`.
+  void share_store_of(const gateway_fixture& owner) { store_address_ = owner.store_.address(); }
   // Starts the gateway and waits until it is ready.
   void start(std::vector<endpoint> seeds = {});
   // As `start`, under a VM name of its own, for fleets of more than two.
@@ -255,6 +257,7 @@
   duration startup_hold_{400};
   duration stop_grace_{450};
   std::optional<gateway::duty_settings> duties_;
+  std::optional<endpoint> store_address_;
   std::unique_ptr<net::http_client> http_ = gateway::gateway::make_http_client();
   adapter::wire_protocol wire_;
   std::unique_ptr<gateway::gateway> gateway_;
--- a/tests/streams/record_trust_test.cpp
+++ b/tests/streams/record_trust_test.cpp
@@ -1,5 +1,10 @@
 // When a process may conclude something from a record that is missing.
 #include "hawthornnotch/streams/record_trust.h"
+
+#include <set>
+#include <string>
+
+#include "hawthornnotch/streams/declaration_table.h"
 #include "hawthornnotch/streams/stream_origin.h"
 #include "hawthornnotch/streams/stream_record.h"
 #include "hawthornnotch/streams/version_declaration.h"
@@ -96,6 +101,38 @@
   CPPUNIT_ASSERT(declaration.renewal_is_due(start + declaration_renewal));
 }
 
+// Its earlier process may have begun streams that this one does not know.
+TEST_THAT(version_declaration, vouches_for_an_earlier_process_only_if_that_declared_nothing) {
+  version_declaration unread;
+  CPPUNIT_ASSERT(!unread.knows_own_streams("forecast"));
+  version_declaration lost;
+  lost.on_predecessor(std::nullopt);
+  CPPUNIT_ASSERT(!lost.knows_own_streams("forecast"));
+  version_declaration declared;
+  declared.on_predecessor(version_sets{{"forecast", {"v1", "v2"}}});
+  CPPUNIT_ASSERT(!declared.knows_own_streams("forecast"));
+  CPPUNIT_ASSERT(declared.knows_own_streams("drafts"));
+  version_declaration none;
+  none.on_predecessor(version_sets{});
+  CPPUNIT_ASSERT(none.knows_own_streams("forecast"));
+}
+
+TEST_THAT(declaration_table, names_the_vms_that_declared_a_service) {
+  declaration_table table;
+  CPPUNIT_ASSERT(!table.is_read_since(time_point{}));
+  table.on_read({{"entry-1", {{"forecast", {"v1", "v2"}}}}, {"entry-2", {}}}, start);
+  CPPUNIT_ASSERT(table.declarers("forecast") == std::set<std::string>{"entry-1"});
+  CPPUNIT_ASSERT(table.declarers("drafts").empty());
+}
+
+// A VM may have declared, and begun a stream, since the reading was asked for.
+TEST_THAT(declaration_table, is_as_old_as_the_call_that_read_it) {
+  declaration_table table;
+  table.on_read({}, start);
+  CPPUNIT_ASSERT(table.is_read_since(start));
+  CPPUNIT_ASSERT(!table.is_read_since(start + 1_ms));
+}
+
 TEST_THAT(stream_record, keeps_the_era_of_the_store) {
   stream_record record;
   record.recent_versions["forecast"] = {"v1"};
