Streams: forget the base version over a gap in the server list

Cause: a VM takes for base the version that it saw serve alone. One that was frozen, or cut off from the list and its peers, for longer than a stream lasts kept it, though another version may have served alone meanwhile. If the first one then came back beside it, streams of the other that nobody knew could go on at the wrong version there: the keepers' proof needs two that agree, the exclusion of design 0022 may rest on this VM alone.

Change: an observation after a gap longer than the longest life of a stream clears the base versions. One that serves alone becomes the base at once again.

--- a/include/hawthornnotch/streams/version_history.h
+++ b/include/hawthornnotch/streams/version_history.h
@@ -48,7 +48,7 @@
   void complete(const version_sets& sole, time_point now);
   [[nodiscard]] bool is_complete() const { return complete_; }
   /// \returns the version that serves alone, or did before versions were mixed; none if it is
-  /// unknown.
+  /// unknown, as after a gap in the observations in which another one may have served alone.
   [[nodiscard]] std::optional<std::string> base(std::string_view service) const;
   /// \returns the versions whose streams may still be resumed.
   [[nodiscard]] std::set<std::string> recent(std::string_view service, time_point now) const;
@@ -73,6 +73,7 @@
   std::map<std::string, seen_versions, std::less<>> services_;
   std::map<std::string, std::string, std::less<>> bases_;
   bool complete_ = false;
+  std::optional<time_point> observed_at_;
 };
 
 }  // namespace hawthornnotch::streams
--- a/src/streams/version_history.cpp
+++ b/src/streams/version_history.cpp
@@ -14,6 +14,10 @@
 
 std::vector<std::string> version_history::observe(std::span<const servers::server_entry> listed,
                                                   time_point now) {
+  if (observed_at_ && now - *observed_at_ > max_stream_age) {
+    bases_.clear();
+  }
+  observed_at_ = now;
   const version_sets present = versions_of(listed);
   for (auto& [service, versions] : services_) {
     const auto here = present.find(service);
--- a/tests/streams/stream_origin_test.cpp
+++ b/tests/streams/stream_origin_test.cpp
@@ -1,5 +1,6 @@
 // What an entry VM remembers of the versions that began streams.
 #include <string>
+#include <vector>
 
 #include "hawthornnotch/streams/origin_message.h"
 #include "hawthornnotch/streams/origin_table.h"
@@ -188,5 +189,19 @@
   }
 }
 
+// A VM that was frozen or cut off takes what served alone before for the version before the
+// release, though another one may have served alone meanwhile.
+TEST_THAT(version_history, forgets_the_base_version_over_a_gap_in_its_observations) {
+  version_history history;
+  history.complete({}, start);
+  history.observe(std::vector{make_entry("s1", "v1")}, start);
+  CPPUNIT_ASSERT(history.base("forecast") == "v1");
+  const std::vector both{make_entry("s1", "v1"), make_entry("s2", "v2")};
+  history.observe(both, start + max_stream_age);
+  CPPUNIT_ASSERT(history.base("forecast") == "v1");
+  history.observe(both, start + max_stream_age * 2 + 1_ms);
+  CPPUNIT_ASSERT(!history.base("forecast"));
+}
+
 }  // namespace
 }  // namespace hawthornnotch::streams
