Streams: test that no era is named while records may be missing

The guard of the record's era had no test of its own: the writer vouches for all records only once those that a restore took no longer matter.

--- a/tests/gateway/restored_records_test.cpp
+++ b/tests/gateway/restored_records_test.cpp
@@ -1,5 +1,6 @@
 // Guards against streams that go on at another software version because the platform's store came
 // back from a copy while no entry VM ran, and lacks what they had recorded.
+#include <cstddef>
 #include <string>
 #include <thread>
 #include <tuple>
@@ -104,5 +105,20 @@
   fixture.await([&] { return names_era("2"); });
 }
 
+// Until all streams from before the restore are over, nobody knows what the records of that time
+// held.
+TEST_THAT(version_record, names_no_era_in_which_declarations_may_be_missing) {
+  release_fleet fleet;
+  const auto copies = copies_before_release(fleet);
+  fleet.begin_release(0);
+  fleet.lose_all_and_restore(copies, true);
+  std::this_thread::sleep_for(registration_time);
+  for (std::size_t number = 0; number < copies.size(); ++number) {
+    const auto record = fleet.vm(number).store().find(versions_key);
+    CPPUNIT_ASSERT(record);
+    CPPUNIT_ASSERT(record->value.find("\"era\":2") == std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace hawthornnotch::test
