Streams: remove a declaration without a definition

stream_records::on_leased was left over from a draft: declared, never defined or called. The lease's time is kept by streams::version_declaration. No change of behaviour; gateway_test builds.

--- a/src/gateway/stream_records.h
+++ b/src/gateway/stream_records.h
@@ -72,8 +72,6 @@
   void update_record(streams::version_sets mixed);
   // The lease runs out by itself, and its record with it.
   void drop_record();
-  // Records that a call granted or renewed the lease.  \param called_at when it was made.
-  void on_leased(std::int64_t lease, time_point called_at);
   // Called at the end of each call that writes.
   void finish_write(const status<platform::platform_failure>& outcome);
   [[nodiscard]] std::string compose(streams::version_sets mixed) const;
