tests: split gateway_test by subject: resumed streams get a program of their own

gateway_test ran for most of the 600 s that a test program may take. The tests of streams that are resumed around releases, losses and restores move to tests/resumed_streams; the fixture with its fake store and fake servers, which both use, moves to tests/support. Nothing but paths and header guards changes.

--- a/tests/gateway/release_fleet.h
+++ b/tests/resumed_streams/release_fleet.h
@@ -1,6 +1,6 @@
 // Three entry VMs during a release of servers.
-#ifndef HAWTHORNNOTCH_TESTS_GATEWAY_RELEASE_FLEET_H_
-#define HAWTHORNNOTCH_TESTS_GATEWAY_RELEASE_FLEET_H_
+#ifndef HAWTHORNNOTCH_TESTS_RESUMED_STREAMS_RELEASE_FLEET_H_
+#define HAWTHORNNOTCH_TESTS_RESUMED_STREAMS_RELEASE_FLEET_H_
 
 #include <array>
 #include <boost/asio/post.hpp>
@@ -123,4 +123,4 @@
 
 }  // namespace hawthornnotch::test
 
-#endif  // HAWTHORNNOTCH_TESTS_GATEWAY_RELEASE_FLEET_H_
+#endif  // HAWTHORNNOTCH_TESTS_RESUMED_STREAMS_RELEASE_FLEET_H_
--- a/tests/gateway/versioned_streams.h
+++ b/tests/resumed_streams/versioned_streams.h
@@ -1,6 +1,6 @@
 // Streams of servers that are listed with the version of their software.
-#ifndef HAWTHORNNOTCH_TESTS_GATEWAY_VERSIONED_STREAMS_H_
-#define HAWTHORNNOTCH_TESTS_GATEWAY_VERSIONED_STREAMS_H_
+#ifndef HAWTHORNNOTCH_TESTS_RESUMED_STREAMS_VERSIONED_STREAMS_H_
+#define HAWTHORNNOTCH_TESTS_RESUMED_STREAMS_VERSIONED_STREAMS_H_
 
 #include <algorithm>
 #include <chrono>
@@ -85,4 +85,4 @@
 
 }  // namespace hawthornnotch::test
 
-#endif  // HAWTHORNNOTCH_TESTS_GATEWAY_VERSIONED_STREAMS_H_
+#endif  // HAWTHORNNOTCH_TESTS_RESUMED_STREAMS_VERSIONED_STREAMS_H_
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -1,6 +1,6 @@
 // Runs one gateway with a fake store, fake backend servers and a caller over loopback sockets.
-#ifndef HAWTHORNNOTCH_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
-#define HAWTHORNNOTCH_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
+#ifndef HAWTHORNNOTCH_TESTS_SUPPORT_GATEWAY_FIXTURE_H_
+#define HAWTHORNNOTCH_TESTS_SUPPORT_GATEWAY_FIXTURE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -273,4 +273,4 @@
 
 }  // namespace hawthornnotch::test
 
-#endif  // HAWTHORNNOTCH_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
+#endif  // HAWTHORNNOTCH_TESTS_SUPPORT_GATEWAY_FIXTURE_H_
