streams: an unrecorded stream's version follows from its id and a declared rule

Cause: a stream could begin at either version while nothing of it could be recorded. Its first event waited 100 ms for keepers and for the VM's declaration, whose validity of 40 s says nothing of whether the store answers. That no record names a stream then means "at the base version" or "not known", and after the loss of all VMs nothing tells which. Ruled out: that the streams were recorded and not read (streams of the last 0.3 s are refused without the outage, too).

Change (design 0023, weighed against four others): a VM's record declares by which shares of the attempts' ids its streams begin at each version. A stream begins at once only at a version that whatever the store may hold for this VM allows, and else once the record names it. New fields are in the records alone, which the build before reads and ignores.

Replaced test: is_refused_while_vms_are_lost_that_may_have_begun_it_at_a_newer_version asked for 503 for a stream whose VMs had declared; their rules name its version now, so the refusal is no longer right. In its place stand one with a VM that declared no rule (503 as before, 200 once it is back), and goes_on_while_vms_are_lost_whose_rules_name_its_version.

--- a/include/hawthornnotch/relay/peer_set.h
+++ b/include/hawthornnotch/relay/peer_set.h
@@ -102,6 +102,8 @@
   /// \returns whether all remembered peers, dead ones included, declare the versions of their
   /// streams (`peer::declares_versions`).
   [[nodiscard]] bool all_declare_versions() const;
+  /// \returns the number of entry VMs that are remembered, dead ones and this one included.
+  [[nodiscard]] std::size_t remembered_count() const { return peers_.size() + 1; }
   /// \returns whether any other entry VM is remembered.
   [[nodiscard]] bool knows_others() const { return !peers_.empty(); }
   /// \returns the address of a remembered peer, which may be dead; none if it is not known.
--- a/include/hawthornnotch/streams/stream_record.h
+++ b/include/hawthornnotch/streams/stream_record.h
@@ -12,6 +12,7 @@
 #include "hawthornnotch/base/result.h"
 #include "hawthornnotch/streams/stream_origin.h"
 #include "hawthornnotch/streams/version_history.h"
+#include "hawthornnotch/streams/vm_declaration.h"
 
 namespace hawthornnotch::streams {
 
@@ -20,10 +21,16 @@
   version_sets recent_versions;
   /// The unfinished streams of these services that began on the VM; ages are not kept.
   std::vector<stream_origin> streams;
+  /// In the record of a VM: how its streams begin that are not named here, by service.
+  begin_rules rules;
+  /// In the record of a VM: entry VMs that it remembers, itself included; 0 if it names none.
+  std::int64_t known_vms = 0;
   /// In the record of the fleet: era of the store in which it was written by a VM that knows of no
   /// lost record, see `record_trust`.  Processes of an earlier build write none.
   std::optional<std::int64_t> era;
   bool operator==(const stream_record&) const = default;
+  /// \returns what the VM declares.
+  [[nodiscard]] vm_declaration declaration() const { return {recent_versions, rules, known_vms}; }
 };
 
 enum class record_failure : std::uint8_t { malformed };
--- a/include/hawthornnotch/streams/version_history.h
+++ b/include/hawthornnotch/streams/version_history.h
@@ -43,9 +43,9 @@
   void inherit(const version_sets& recorded, time_point now);
   /// Records that all versions are known that have served before the process started.  Does nothing
   /// the second time.
-  /// \param sole versions of services that had only one at the end of their last process; these are
-  /// their bases.
-  void complete(const version_sets& sole, time_point now);
+  /// \param recorded the base versions of services by records; of those that have several, none is
+  /// known.
+  void complete(const version_sets& recorded, time_point now);
   [[nodiscard]] bool is_complete() const { return complete_; }
   /// \returns the version that serves alone, or did before versions were mixed; none if it is
   /// unknown, as after a gap in the observations in which another one may have served alone.
--- a/src/gateway/origin_link.cpp
+++ b/src/gateway/origin_link.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
 #include <chrono>
 #include <map>
 #include <tuple>
@@ -33,9 +32,10 @@
 constexpr std::uint64_t max_message_bytes = 4 * 1024 * 1024;
 /// How long the first event of a stream waits for its keepers and for this VM's declaration.
 constexpr duration max_begin_wait{100};
+/// How long it waits for the store's record.
+constexpr duration max_record_wait{2'000};
 constexpr std::chrono::milliseconds declaration_poll_period{5};
-/// Headers, since VMs of an earlier release refuse a message with a field that they do not know.
-constexpr std::string_view base_hash_header = "Hawthornnotch-Base-Version";
+/// A header, since VMs of an earlier release refuse a message with a field that they do not know.
 constexpr std::string_view knows_own_header = "Hawthornnotch-Knows-Own-Streams";
 /// A stream is not looked for at more VMs than this.
 constexpr std::size_t max_vms_asked = 32;
@@ -44,26 +44,11 @@
   return stable_hash(key.attempt, stable_hash(key.workspace));
 }
 
-// \returns how many keepers must know of a stream before it begins at another version than the base
-// one.  Together with `answers_needed` these are more than there are keepers.
+// \returns how many keepers know of a stream before it begins at another version than the base one.
 std::size_t copies_needed(const relay::keeper_set& keepers) {
   return std::min<std::size_t>(keepers.size(), 2);
 }
 
-// \returns how many keepers must not know of a stream to prove that it began at the base version.
-std::size_t answers_needed(const relay::keeper_set& keepers) {
-  return keepers.size() - copies_needed(keepers) + 1;
-}
-
-std::optional<std::uint64_t> parse_hash(std::optional<std::string_view> text) {
-  std::uint64_t hash = 0;
-  if (!text) {
-    return std::nullopt;
-  }
-  const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), hash);
-  return error == std::errc() ? std::optional(hash) : std::nullopt;
-}
-
 }  // namespace
 
 // The keepers of a stream that know of it.
@@ -86,35 +71,58 @@
       : key(std::move(what)), answered(executor) {}
   streams::stream_key key;
   std::optional<streams::stream_origin> found;
-  relay::keeper_set keepers;
   std::size_t open = 0;
   bool all_answered = true;
-  // By the hash of the base version, the keepers that named it and do not know the stream.
-  std::map<std::uint64_t, std::size_t> bases;
   // VMs that do not know the stream and know all that they began.
-  std::size_t excluded = 0;
+  std::set<std::string> excluded;
   asio::steady_timer answered;
 };
 
 origin_link::origin_link(gateway_state& shared, asio::any_io_executor executor)
     : shared_(shared), executor_(executor), flush_timer_(executor) {}
 
-asio::awaitable<void> origin_link::begin_stream(streams::stream_origin origin) {
+asio::awaitable<bool> origin_link::begin_stream(streams::stream_origin origin) {
   const time_point now = shared_.time.now();
+  const std::string service = origin.key.service;
   shared_.origins.record(origin, streams::origin_source::own, now);
-  const bool at_base = shared_.versions.base(origin.key.service) == origin.software_version;
-  if (at_base && !shared_.versions.is_mixed(origin.key.service, now)) {
-    co_return;
+  const auto base = shared_.versions.base(service);
+  const bool mixed = shared_.versions.is_mixed(service, now);
+  const bool at_base = base == origin.software_version;
+  if (at_base && !mixed) {
+    co_return true;
   }
+  const auto permission = shared_.declaration.permission({service, origin.key.attempt, base},
+                                                         origin.software_version, now);
   const std::shared_ptr<delivery> progress = tell(origin);
+  if (mixed && permission == streams::begin_permission::needs_record) {
+    shared_.declaration.demand_write(now);
+    const bool recorded = co_await await_record(service, now);
+    co_return recorded;
+  }
   if (at_base) {
-    co_return;
+    co_return true;
   }
   if (!progress->is_settled()) {
     progress->settled.expires_after(std::chrono::milliseconds(max_begin_wait.ms));
     co_await progress->settled.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  co_await await_declaration(origin.key.service, now + max_begin_wait);
+  if (permission == streams::begin_permission::unknown) {
+    co_await await_declaration(service, now + max_begin_wait);
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> origin_link::await_record(std::string service, time_point began_at) {
+  asio::steady_timer timer(executor_);
+  time_point now = began_at;
+  bool named = false;
+  while (!named && now - began_at < max_record_wait && shared_.versions.is_mixed(service, now)) {
+    timer.expires_after(declaration_poll_period);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    now = shared_.time.now();
+    named = shared_.declaration.names_streams_until(service, began_at, now);
+  }
+  co_return named;
 }
 
 asio::awaitable<void> origin_link::await_declaration(std::string service, time_point end) {
@@ -191,42 +199,47 @@
 asio::awaitable<origin_link::search_result> origin_link::find(streams::stream_key key) {
   auto known = shared_.origins.find(key, shared_.time.now());
   if (known || key.attempt.empty()) {
-    co_return search_result{std::move(known), false, std::nullopt};
+    co_return search_result{std::move(known), false};
   }
   const auto question = std::make_shared<inquiry>(key, executor_);
-  question->keepers = shared_.peers.keepers_of(placement_of(key), keepers_per_stream);
-  co_await ask_all(question->keepers.peers, question);
-  const bool asked = !question->keepers.peers.empty();
-  co_return search_result{question->found, asked && question->all_answered, agreed_base(*question)};
+  const relay::keeper_set keepers = shared_.peers.keepers_of(placement_of(key), keepers_per_stream);
+  std::map<std::string, endpoint> addresses;
+  for (const endpoint& keeper : keepers.peers) {
+    addresses.emplace(to_text(keeper), keeper);
+  }
+  const bool asked = !addresses.empty();
+  co_await ask_all(std::move(addresses), question);
+  co_return search_result{question->found, asked && question->all_answered};
 }
 
-asio::awaitable<origin_link::search_result> origin_link::find_among(streams::stream_key key,
-                                                                    std::set<std::string> vms) {
-  std::vector<endpoint> addresses;
+asio::awaitable<origin_link::vm_search_result> origin_link::find_among(streams::stream_key key,
+                                                                       std::set<std::string> vms) {
+  std::map<std::string, endpoint> addresses;
   for (const std::string& vm : vms) {
     if (const auto address = shared_.peers.address_of(vm)) {
-      addresses.push_back(*address);
+      addresses.emplace(vm, *address);
     }
   }
-  const bool all_known = addresses.size() == vms.size();
-  if (!all_known || addresses.size() > max_vms_asked || !knows_own_streams(key.service)) {
-    co_return search_result{};
+  vm_search_result out;
+  if (vms.contains(shared_.settings.vm) && knows_own_streams(key.service)) {
+    out.excluded.insert(shared_.settings.vm);
   }
-  const auto question = std::make_shared<inquiry>(std::move(key), executor_);
-  co_await ask_all(addresses, question);
-  search_result out{question->found, question->all_answered, std::nullopt};
-  if (question->excluded == addresses.size()) {
-    out.base = undisputed_base(*question);
+  if (addresses.size() > max_vms_asked) {
+    co_return out;
   }
+  const auto question = std::make_shared<inquiry>(std::move(key), executor_);
+  co_await ask_all(std::move(addresses), question);
+  out.found = question->found;
+  out.excluded.merge(question->excluded);
   co_return out;
 }
 
-asio::awaitable<void> origin_link::ask_all(std::vector<endpoint> vms,
+asio::awaitable<void> origin_link::ask_all(std::map<std::string, endpoint> vms,
                                            std::shared_ptr<inquiry> about) {
   about->open = vms.size();
   about->answered.expires_at(std::chrono::steady_clock::time_point::max());
-  for (const endpoint& vm : vms) {
-    asio::co_spawn(executor_, ask(vm, about), asio::detached);
+  for (const auto& [vm, address] : vms) {
+    asio::co_spawn(executor_, ask(vm, address, about), asio::detached);
   }
   if (!vms.empty()) {
     co_await about->answered.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -241,43 +254,8 @@
          shared_.declaration.knows_own_streams(service);
 }
 
-std::optional<std::string> origin_link::undisputed_base(const inquiry& answered) const {
-  const std::string& service = answered.key.service;
-  const std::optional<std::string> own = shared_.versions.base(service);
-  const std::size_t named = answered.bases.size();
-  std::optional<std::string> agreed;
-  for (const std::string& version : shared_.versions.recent(service, shared_.time.now())) {
-    const bool by_peers = answered.bases.contains(stable_hash(version));
-    const bool by_all = (named == 0 && own == version) || (named == 1 && by_peers);
-    if (by_all && (!own || own == version)) {
-      agreed = version;
-    }
-  }
-  return agreed;
-}
-
-std::optional<std::string> origin_link::kept_base(std::string_view service) const {
-  return shared_.origins.is_complete(shared_.time.now()) ? shared_.versions.base(service)
-                                                         : std::nullopt;
-}
-
-// A VM that is cut off from all others can't know what they began.
-std::optional<std::string> origin_link::agreed_base(const inquiry& answered) const {
-  const std::string& service = answered.key.service;
-  const std::optional<std::string> own =
-      answered.keepers.includes_this_vm ? kept_base(service) : std::nullopt;
-  for (const std::string& version : shared_.versions.recent(service, shared_.time.now())) {
-    const auto named = answered.bases.find(stable_hash(version));
-    const std::size_t by_peers = named == answered.bases.end() ? 0 : named->second;
-    const std::size_t by_all = by_peers + (own == version ? 1 : 0);
-    if (by_peers > 0 && by_all >= answers_needed(answered.keepers)) {
-      return version;
-    }
-  }
-  return std::nullopt;
-}
-
-asio::awaitable<void> origin_link::ask(endpoint to, std::shared_ptr<inquiry> about) {
+asio::awaitable<void> origin_link::ask(std::string vm, endpoint to,
+                                       std::shared_ptr<inquiry> about) {
   streams::origin_message message;
   message.questions.push_back(about->key);
   const auto answer = co_await exchange(to, message);
@@ -286,11 +264,8 @@
   const auto* origins = answer ? &answer->message.origins : nullptr;
   if (origins != nullptr && !origins->empty() && origins->front().key == about->key) {
     about->found = origins->front();
-  } else if (answer) {
-    about->excluded += answer->knows_own_streams ? 1 : 0;
-    if (answer->base_hash) {
-      ++about->bases[*answer->base_hash];
-    }
+  } else if (answer && answer->knows_own_streams) {
+    about->excluded.insert(std::move(vm));
   }
   if (about->found || about->open == 0) {
     about->answered.cancel();
@@ -320,15 +295,11 @@
     observe::log_event(observe::level::debug, "origins_unreadable", {{"peer", to.address}});
     co_return std::nullopt;
   }
-  co_return peer_answer{std::move(*answer), parse_hash(response->header(base_hash_header)),
-                        response->header(knows_own_header).has_value()};
+  co_return peer_answer{std::move(*answer), response->header(knows_own_header).has_value()};
 }
 
 void origin_link::add_own_knowledge(const std::string& service,
                                     net::http_response& response) const {
-  if (const auto base = kept_base(service)) {
-    response.headers.emplace_back(base_hash_header, std::to_string(stable_hash(*base)));
-  }
   if (knows_own_streams(service)) {
     response.headers.emplace_back(knows_own_header, "1");
   }
--- a/src/gateway/origin_link.h
+++ b/src/gateway/origin_link.h
@@ -24,9 +24,9 @@
 // all VMs for the stream's id. Any VM can find them to ask. Otherwise nothing is sent; once a
 // second version appears, the origins of the streams that have begun are told.
 //
-// The VM of a stream may be lost before it tells. So a stream at another version than the base one
-// begins only once all but one of its keepers know of it, and one that all but one of them do not
-// know began at the base version. See docs/design/0014-resumed-streams.md.
+// The VM of a stream may be lost before it tells, or reach no keeper. So a stream that the store
+// may take for one of another version begins only once the store's record names it, see
+// `streams::version_declaration`; that no keeper knows a stream proves nothing.
 //
 // Ownership: refers to the state, which outlives it.  Thread safety: none.
 class origin_link {
@@ -34,9 +34,10 @@
   origin_link(gateway_state& shared, boost::asio::any_io_executor executor);
 
   // Records that a stream of this VM is about to begin, before its caller gets the first event. One
-  // that does not begin at the base version of its service waits until most of its keepers know of
-  // it and this VM has declared that versions are mixed, for a short time.
-  boost::asio::awaitable<void> begin_stream(streams::stream_origin origin);
+  // that does not begin at the base version of its service waits for a short time until most of its
+  // keepers know of it; one that may begin only once the store's record names it, until it does.
+  // \returns whether it may begin.
+  boost::asio::awaitable<bool> begin_stream(streams::stream_origin origin);
   // Tells the origins of all streams that this VM began, once a service is mixed.
   void on_versions_mixed(std::span<const std::string> services);
   struct search_result {
@@ -44,17 +45,17 @@
     // Whether there are keepers and every one was reached: then no VM that is in touch with them
     // began the stream at a version that this one does not know.
     bool peers_answered = false;
-    // The base version of the service, if so many keepers know none of the stream that it can have
-    // begun at no other.
-    std::optional<std::string> base;
   };
   // Asks the stream's keepers if this VM does not know its origin, for a short time.
   boost::asio::awaitable<search_result> find(streams::stream_key key);
-  // Asks the VMs that may have begun the stream at another version than the base one: if all are
-  // reached and neither they nor this VM began it, it began at the base version.
-  // \returns the origin or the base version, if either is proved.
-  boost::asio::awaitable<search_result> find_among(streams::stream_key key,
-                                                   std::set<std::string> vms);
+  struct vm_search_result {
+    std::optional<streams::stream_origin> found;
+    // VMs whose process did not begin the stream, see `streams::begin_facts::exclude`.
+    std::set<std::string> excluded;
+  };
+  // Asks these VMs, this one included, whether they began the stream.
+  boost::asio::awaitable<vm_search_result> find_among(streams::stream_key key,
+                                                      std::set<std::string> vms);
   // \returns whether a request on the peers' port is for `handle`.
   [[nodiscard]] static bool is_for_origins(const net::http_request& request);
   // Serves another VM's message.  Answers 400 if it can't be decoded.
@@ -75,32 +76,28 @@
   // What another VM answers.
   struct peer_answer {
     streams::origin_message message;
-    // Hash of the base version of the service that was asked for.
-    std::optional<std::uint64_t> base_hash;
     // Whether the VM knows all streams of the service that it began at other versions.
     bool knows_own_streams = false;
   };
   boost::asio::awaitable<void> await_declaration(std::string service, time_point end);
+  // \returns whether the store's record names a stream that began at this time.
+  boost::asio::awaitable<bool> await_record(std::string service, time_point began_at);
   // \returns the progress at the keepers.
   std::shared_ptr<delivery> tell(const streams::stream_origin& origin);
   void flush();
   boost::asio::awaitable<void> send_origins(batch what);
-  boost::asio::awaitable<void> ask(endpoint to, std::shared_ptr<inquiry> about);
+  // \param vm whose address this is; empty if it does not matter.
+  boost::asio::awaitable<void> ask(std::string vm, endpoint to, std::shared_ptr<inquiry> about);
   boost::asio::awaitable<std::optional<peer_answer>> exchange(
       const endpoint& to, const streams::origin_message& message);
-  // \returns the base version of the service, if this VM would know of each stream that it keeps.
-  [[nodiscard]] std::optional<std::string> kept_base(std::string_view service) const;
   // \returns whether this VM knows each stream of the service that it, its earlier processes
   // included, began at another version than the base one.
   [[nodiscard]] bool knows_own_streams(const std::string& service) const;
-  // \returns the base version, if no VM that was asked names another one.
-  [[nodiscard]] std::optional<std::string> undisputed_base(const inquiry& answered) const;
   // Puts the question to these VMs and waits until the first knows, or all have answered.
-  boost::asio::awaitable<void> ask_all(std::vector<endpoint> vms, std::shared_ptr<inquiry> about);
+  boost::asio::awaitable<void> ask_all(std::map<std::string, endpoint> vms,
+                                       std::shared_ptr<inquiry> about);
   // Adds to an answer what this VM can tell of streams of the service that it does not know.
   void add_own_knowledge(const std::string& service, net::http_response& response) const;
-  // \returns the base version that enough of the keepers name.
-  [[nodiscard]] std::optional<std::string> agreed_base(const inquiry& answered) const;
 
   gateway_state& shared_;
   boost::asio::any_io_executor executor_;
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -82,20 +82,31 @@
   // \param complete whether the server list shows every version in service, or the VMs that would
   // know of another one were reached.
   [[nodiscard]] std::optional<std::string> only_version(bool complete) const;
-  // \returns the version at which a new stream begins if its servers take it; none if it may begin
-  // at any.  Until this VM has declared that versions are mixed, its streams begin at the base
-  // version where they can.
-  [[nodiscard]] std::optional<std::string> undeclared_base() const;
+  // \returns the versions at which a new stream begins, in this order where their servers take it;
+  // empty if it may begin at any.
+  [[nodiscard]] std::vector<std::string> preferred_versions() const;
+  // \returns whether the stream may begin at this version, perhaps once the store's record names
+  // it.
+  [[nodiscard]] bool may_begin_at(const std::string& version) const;
+  [[nodiscard]] streams::begin_permission permission_at(const std::string& version) const;
   // Chooses a server, of the version at which the stream has to go on or may begin.
   [[nodiscard]] result<dispatch::placement, dispatch::placement_failure> choose_server(
       dispatch::placement_query query);
-  // Finds that the stream began at the base version, since no VM that may have begun it at another
-  // one did.  \returns false if that is not proved.
-  boost::asio::awaitable<bool> find_by_exclusion();
+  // \returns the server at which the stream's first event is expected sooner: the preferred one, or
+  // one of any version, where it has to wait for its record.
+  [[nodiscard]] dispatch::placement prefer_sooner(const dispatch::placement& preferred,
+                                                  dispatch::placement_query query);
+  // Finds the only version at which the stream can have begun, since it is in no record.
+  // \returns false if there may be several.
+  boost::asio::awaitable<bool> prove_version();
+  // \returns whether the facts prove a version.
+  bool take_proof(const streams::begin_facts& facts, std::string_view known_by);
   void log_resumption(std::string_view known_by, duration age) const;
   void log_refusal(bool peers_answered) const;
-  // Called before the first event of the response is forwarded.
-  boost::asio::awaitable<void> on_stream_begun();
+  // Called before events of the response are forwarded.  \returns whether they may be.
+  boost::asio::awaitable<bool> on_stream_begun();
+  // Ends the attempt, as nothing can prove later at which version the stream began.
+  attempt_outcome on_stream_unrecorded(net::response_stream& answer);
   // Called after the whole response was forwarded.
   void on_stream_finished();
   [[nodiscard]] bool is_retryable() const;
@@ -210,6 +221,8 @@
   bool all_paused_ = false;
   // The stream has begun at this software version and goes on at no other.
   std::optional<std::string> required_version_;
+  // Why the version of the resumed stream is not proved; none if the records could not be judged.
+  std::optional<streams::begin_doubt> doubt_;
   bool version_unavailable_ = false;
   // The request, or a part of it, is known to crash servers.
   bool quarantined_ = false;
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -266,6 +266,10 @@
     progress_at = now;
     record_event_gap();
     record_answer_events(batch.count);
+    const bool may_begin = co_await on_stream_begun();
+    if (!may_begin) {
+      co_return on_stream_unrecorded(answer);
+    }
     const bool forwarded = co_await forward_events(answer.head(), batch);
     if (!forwarded) {
       co_return on_caller_left(answer);
@@ -330,9 +334,6 @@
 
 asio::awaitable<bool> proxied_request::forward_events(const net::http_response& head,
                                                       const event_batch& batch) {
-  if (batch.count > 0) {
-    co_await on_stream_begun();
-  }
   const bool started = co_await start_response(head);
   if (!started) {
     co_return false;
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -13,6 +13,13 @@
 using observe::level;
 using observe::log_event;
 
+namespace {
+
+/// How long a stream waits until the store's record names it, where records are quick.
+constexpr double usual_record_wait_ms = 100;
+
+}  // namespace
+
 bool proxied_request::resumes_stream() const {
   return is_resumable() && request_.last_event_id.value_or(0) > 0;
 }
@@ -55,34 +62,48 @@
     log_resumption("only_version", duration{-1});
     co_return true;
   }
-  required_version_ = std::move(search.base);
-  if (required_version_) {
-    log_resumption("base_version", duration{-1});
-    co_return true;
-  }
-  const bool excluded = co_await find_by_exclusion();
-  if (excluded) {
+  const bool proved = co_await prove_version();
+  if (proved) {
     co_return true;
   }
   log_refusal(search.peers_answered);
   co_return false;
 }
 
-asio::awaitable<bool> proxied_request::find_by_exclusion() {
-  const auto vms = resumption_.records.possible_beginners(service_, arrived_at_);
-  if (!vms) {
+asio::awaitable<bool> proxied_request::prove_version() {
+  auto facts = resumption_.records.begin_facts(service_, arrived_at_);
+  if (!facts) {
     co_return false;
   }
-  auto search =
-      co_await resumption_.origins.find_among(stream_key_of(request_.resumed_attempt), *vms);
+  if (take_proof(*facts, "rule")) {
+    co_return true;
+  }
+  std::set<std::string> vms;
+  for (const auto& [vm, rule] : facts->beginners) {
+    vms.insert(vm);
+  }
+  const auto search = co_await resumption_.origins.find_among(
+      stream_key_of(request_.resumed_attempt), std::move(vms));
   if (search.found) {
     required_version_ = search.found->software_version;
     log_resumption("record", search.found->age);
-  } else if (search.base) {
-    required_version_ = std::move(search.base);
-    log_resumption("exclusion", duration{-1});
+    co_return true;
+  }
+  for (const std::string& vm : search.excluded) {
+    facts->exclude(vm);
+  }
+  co_return take_proof(*facts, "exclusion");
+}
+
+bool proxied_request::take_proof(const streams::begin_facts& facts, std::string_view known_by) {
+  const auto proved = streams::prove_version(facts, request_.resumed_attempt);
+  if (!proved) {
+    doubt_ = proved.last_reason();
+    return false;
   }
-  co_return required_version_.has_value();
+  required_version_ = *proved;
+  log_resumption(known_by, duration{-1});
+  return true;
 }
 
 void proxied_request::log_refusal(bool peers_answered) const {
@@ -94,30 +115,69 @@
              {"recent_versions", recent.size()},
              {"history_known", resumption_.records.history_known()},
              {"peers_answered", peers_answered},
+             {"doubt", doubt_ ? streams::to_string(*doubt_) : "records_not_whole"},
              {"list_age_ms", shared_.servers.age(shared_.time.now()).value_or(duration{-1}).ms}});
 }
 
-std::optional<std::string> proxied_request::undeclared_base() const {
+streams::begin_permission proxied_request::permission_at(const std::string& version) const {
+  return shared_.declaration.permission({service_, request_.id, shared_.versions.base(service_)},
+                                        version, shared_.time.now());
+}
+
+bool proxied_request::may_begin_at(const std::string& version) const {
+  return permission_at(version) != streams::begin_permission::needs_record ||
+         resumption_.records.is_writable();
+}
+
+// A short wait for the record is better than servers of a version that get no work.
+std::vector<std::string> proxied_request::preferred_versions() const {
   const time_point now = shared_.time.now();
-  const bool declared = shared_.declaration.covers(service_, now);
   const bool begins = is_resumable() && !required_version_;
-  return begins && !declared && shared_.versions.is_mixed(service_, now)
-             ? shared_.versions.base(service_)
-             : std::nullopt;
+  if (!begins || !shared_.versions.is_mixed(service_, now)) {
+    return {};
+  }
+  std::vector<std::string> versions;
+  const std::string target = resumption_.records.target_version(service_, request_.id);
+  const bool waits = permission_at(target) == streams::begin_permission::needs_record;
+  if (!waits || resumption_.records.records_now()) {
+    versions.push_back(target);
+  }
+  const auto allowed = shared_.declaration.preferred_version(
+      {service_, request_.id, shared_.versions.base(service_)}, now);
+  if (allowed && *allowed != target) {
+    versions.push_back(*allowed);
+  }
+  return versions;
 }
 
 result<dispatch::placement, dispatch::placement_failure> proxied_request::choose_server(
     dispatch::placement_query query) {
-  query.software_version = required_version_;
-  if (const auto base = undeclared_base()) {
-    query.software_version = *base;
+  for (const std::string& version : preferred_versions()) {
+    query.software_version = version;
     auto chosen = shared_.dispatcher.choose(query);
     if (chosen) {
-      return chosen;
+      return prefer_sooner(*chosen, query);
     }
-    query.software_version.reset();
   }
-  return shared_.dispatcher.choose(query);
+  query.software_version = required_version_;
+  auto chosen = shared_.dispatcher.choose(query);
+  const bool begins = is_resumable() && !required_version_;
+  if (chosen && begins && !may_begin_at(chosen->server.software_version)) {
+    return failed{dispatch::placement_failure::no_server_of_version};
+  }
+  return chosen;
+}
+
+// A server that holds the prompt in its cache may be of the other version.
+dispatch::placement proxied_request::prefer_sooner(const dispatch::placement& preferred,
+                                                   dispatch::placement_query query) {
+  if (!resumption_.records.records_now()) {
+    return preferred;
+  }
+  query.software_version.reset();
+  const auto any = shared_.dispatcher.choose(query);
+  const bool sooner = any && any->expected_ms + usual_record_wait_ms < preferred.expected_ms;
+  return sooner ? *any : preferred;
 }
 
 void proxied_request::log_resumption(std::string_view known_by, duration age) const {
@@ -131,15 +191,31 @@
 }
 
 // The version is that of the server that answered: any other server rejects the request.
-asio::awaitable<void> proxied_request::on_stream_begun() {
+asio::awaitable<bool> proxied_request::on_stream_begun() {
   if (required_version_) {
-    co_return;
+    co_return true;
   }
   required_version_ = placement_.server.software_version;
-  if (is_resumable()) {
-    streams::stream_origin origin{stream_key_of(request_.id), *required_version_, duration{0}};
-    co_await resumption_.origins.begin_stream(std::move(origin));
+  if (!is_resumable()) {
+    co_return true;
   }
+  streams::stream_origin origin{stream_key_of(request_.id), *required_version_, duration{0}};
+  const bool may_begin = co_await resumption_.origins.begin_stream(std::move(origin));
+  co_return may_begin;
+}
+
+proxied_request::attempt_outcome proxied_request::on_stream_unrecorded(
+    net::response_stream& answer) {
+  answer.cancel();
+  finish_attempt(dispatch::attempt_end::abandoned);
+  ++possible_executions_;
+  shared_.metrics->count("hawthornnotch_streams_unrecorded_total", {{"service", service_}});
+  log_event(level::info, "stream_unrecorded",
+            {{"request_id", request_.id},
+             {"service", service_},
+             {"server", placement_.server.id},
+             {"version", placement_.server.software_version}});
+  return attempt_outcome::give_up;
 }
 
 void proxied_request::on_stream_finished() {
--- a/src/streams/version_history.cpp
+++ b/src/streams/version_history.cpp
@@ -45,12 +45,12 @@
   return newly_mixed;
 }
 
-void version_history::complete(const version_sets& sole, time_point now) {
+void version_history::complete(const version_sets& recorded, time_point now) {
   if (complete_) {
     return;
   }
   complete_ = true;
-  for (const auto& [service, versions] : sole) {
+  for (const auto& [service, versions] : recorded) {
     if (versions.size() == 1) {
       bases_.emplace(service, *versions.begin());
     }
--- a/tests/resumed_streams/lost_keepers_test.cpp
+++ b/tests/resumed_streams/lost_keepers_test.cpp
@@ -9,6 +9,7 @@
 #include <tuple>
 
 #include "gateway_fixture.h"
+#include "hawthornnotch/streams/version_shares.h"
 #include "release_fleet.h"
 #include "test_case.h"
 #include "versioned_streams.h"
@@ -84,17 +85,35 @@
   CPPUNIT_ASSERT_EQUAL(lost_streams, resumptions_at(fleet.old_server()));
 }
 
-// The lost VMs may have begun the stream at the newer version. Once they are back, they tell.
-TEST_THAT(resumed_stream, is_refused_while_vms_are_lost_that_may_have_begun_it_at_a_newer_version) {
+// A VM of the build before declares no rule, so it may have begun the stream at the newer version.
+// Once it is back, it tells.
+TEST_THAT(resumed_stream, is_refused_while_a_vm_is_lost_that_may_have_begun_it_at_a_newer_version) {
   large_release_fleet fleet;
   fleet.begin_release();
   std::this_thread::sleep_for(record_writing_time);
   fleet.lose_most();
+  fleet.store().put("hn/streams/entry-2", R"({"versions":{"forecast":["v1","v2"]},"streams":{}})");
   CPPUNIT_ASSERT_EQUAL(503U, fleet.resume("b", unknown_stream));
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fleet.old_server()));
   fleet.vm(lost_vms).await([&] { return fleet.resume("c", unknown_stream) == 200U; });
 }
 
+// The rule that each of the lost VMs declared names one version for the stream: it needs no VM
+// back.
+TEST_THAT(resumed_stream, goes_on_while_vms_are_lost_whose_rules_name_its_version) {
+  large_release_fleet fleet;
+  fleet.begin_release();
+  std::this_thread::sleep_for(record_writing_time);
+  fleet.lose_most();
+  const auto shares = streams::version_shares::create({{"v1", 1}, {"v2", 1}});
+  for (const char* id : {"a", "aa", "aaa", "aaaa", "aaaaa", "aaaaaa"}) {
+    const std::string resumed = std::string("b") + id;
+    CPPUNIT_ASSERT_EQUAL(200U, fleet.resume(resumed, id));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(id, shares->version_for(id) == "v1",
+                                 received_attempt(fleet.old_server(), resumed));
+  }
+}
+
 // The declarations of the lost VMs are not in the copy from which the store came back.
 TEST_THAT(resumed_stream, is_refused_if_a_restore_took_the_declarations_of_lost_vms) {
   large_release_fleet fleet;
--- a/tests/streams/record_trust_test.cpp
+++ b/tests/streams/record_trust_test.cpp
@@ -77,11 +77,17 @@
   CPPUNIT_ASSERT(trust.shows_all_servers(start + 3_s));
 }
 
+vm_declaration declares_forecast() {
+  vm_declaration out;
+  out.mixed["forecast"] = {"v1", "v2"};
+  return out;
+}
+
 TEST_THAT(version_declaration, covers_the_services_in_its_record_while_its_lease_lasts) {
   version_declaration declaration;
   declaration.on_leased(start);
   CPPUNIT_ASSERT(!declaration.covers("forecast", start));
-  declaration.on_written({{"forecast", {"v1", "v2"}}});
+  declaration.on_written(declares_forecast(), start);
   CPPUNIT_ASSERT(declaration.covers("forecast", start));
   CPPUNIT_ASSERT(!declaration.covers("drafts", start));
   CPPUNIT_ASSERT(!declaration.covers("forecast", start + declaration_renewal * 2));
@@ -109,19 +115,20 @@
   lost.on_predecessor(std::nullopt);
   CPPUNIT_ASSERT(!lost.knows_own_streams("forecast"));
   version_declaration declared;
-  declared.on_predecessor(version_sets{{"forecast", {"v1", "v2"}}});
+  declared.on_predecessor(declares_forecast());
   CPPUNIT_ASSERT(!declared.knows_own_streams("forecast"));
   CPPUNIT_ASSERT(declared.knows_own_streams("drafts"));
   version_declaration none;
-  none.on_predecessor(version_sets{});
+  none.on_predecessor(vm_declaration{});
   CPPUNIT_ASSERT(none.knows_own_streams("forecast"));
 }
 
 TEST_THAT(declaration_table, names_the_vms_that_declared_a_service) {
   declaration_table table;
   CPPUNIT_ASSERT(!table.is_read_since(time_point{}));
-  table.on_read({{"entry-1", {{"forecast", {"v1", "v2"}}}}, {"entry-2", {}}}, start);
-  CPPUNIT_ASSERT(table.declarers("forecast") == std::set<std::string>{"entry-1"});
+  table.on_read({{"entry-1", declares_forecast()}, {"entry-2", {}}}, start);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.declarers("forecast").size());
+  CPPUNIT_ASSERT(table.declarers("forecast").contains("entry-1"));
   CPPUNIT_ASSERT(table.declarers("drafts").empty());
 }
 
--- a/tests/gateway/partitioned_client.h
+++ b/tests/support/partitioned_client.h
@@ -1,6 +1,6 @@
 // An HTTP client of an entry VM that can be cut off from chosen endpoints.
-#ifndef HAWTHORNNOTCH_TESTS_GATEWAY_PARTITIONED_CLIENT_H_
-#define HAWTHORNNOTCH_TESTS_GATEWAY_PARTITIONED_CLIENT_H_
+#ifndef HAWTHORNNOTCH_TESTS_SUPPORT_PARTITIONED_CLIENT_H_
+#define HAWTHORNNOTCH_TESTS_SUPPORT_PARTITIONED_CLIENT_H_
 
 #include <cstddef>
 #include <map>
@@ -65,4 +65,4 @@
 
 }  // namespace hawthornnotch::test
 
-#endif  // HAWTHORNNOTCH_TESTS_GATEWAY_PARTITIONED_CLIENT_H_
+#endif  // HAWTHORNNOTCH_TESTS_SUPPORT_PARTITIONED_CLIENT_H_
