resumed_streams: test that streams of a VM that was cut off and lost stay at their version

Two keepers that did not know a stream were taken for a proof that it began at the base version, though a VM that is cut off reaches none of them. They prove nothing any more.

Test: goes_on_at_its_version_if_its_vm_was_cut_off_and_lost fails on (a stream of the newer version is taken up at the older one).

--- a/tests/resumed_streams/unrecorded_streams_test.cpp
+++ b/tests/resumed_streams/unrecorded_streams_test.cpp
@@ -34,6 +34,20 @@
   fleet.expect_all_go_on(1);
 }
 
+// Review case 12: no keeper could be told, so that none knows the stream proves nothing.
+TEST_THAT(resumed_stream, goes_on_at_its_version_if_its_vm_was_cut_off_and_lost) {
+  one_store_fleet fleet;
+  fleet.begin_release();
+  fleet.cut_off();
+  std::this_thread::sleep_for(outage_detection_time);
+  fleet.begin_streams(one_store_fleet::apart);
+  fleet.vm(one_store_fleet::apart).stop();
+  fleet.store().set_unavailable(false);
+  std::this_thread::sleep_for(recovery_time);
+  fleet.expect_all_go_on(0);
+  fleet.vm(one_store_fleet::apart).start_again({fleet.vm(0).peers()});
+}
+
 // Its version takes no work, and at another one it would leave no trace: the caller may try again.
 TEST_THAT(new_stream, is_turned_away_unexecuted_if_nobody_could_tell_its_version_later) {
   one_store_fleet fleet;
