--- a/tests/resumed_streams/unrecorded_streams_test.cpp
+++ b/tests/resumed_streams/unrecorded_streams_test.cpp
@@ -48,6 +48,23 @@
   fleet.vm(one_store_fleet::apart).start_again({fleet.vm(0).peers()});
 }
 
+// Review case 13: no process has watched since before the release.
+TEST_THAT(resumed_stream, goes_on_if_its_vm_was_cut_off_and_lost_after_a_rolling_restart) {
+  one_store_fleet fleet;
+  fleet.begin_release();
+  std::this_thread::sleep_for(record_writing_time);
+  fleet.restart_in_turn();
+  std::this_thread::sleep_for(recovery_time);
+  fleet.cut_off();
+  std::this_thread::sleep_for(outage_detection_time);
+  fleet.begin_streams(one_store_fleet::apart);
+  fleet.vm(one_store_fleet::apart).stop();
+  fleet.store().set_unavailable(false);
+  std::this_thread::sleep_for(recovery_time);
+  fleet.expect_all_go_on(0);
+  fleet.vm(one_store_fleet::apart).start_again({fleet.vm(0).peers()});
+}
+
 // Its version takes no work, and at another one it would leave no trace: the caller may try again.
 TEST_THAT(new_stream, is_turned_away_unexecuted_if_nobody_could_tell_its_version_later) {
   one_store_fleet fleet;
