gateway: this VM's own record of streams has a module of its own

Writing (lease, compare-and-swap, what is declared, whether the store answers) is own_stream_record now; stream_records reads, and judges what the records prove. Where one version serves, a new stream is no longer turned away for an old record of this VM, which could only matter while the store was away after a release had ended.

--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -82,6 +82,8 @@
   // \param complete whether the server list shows every version in service, or the VMs that would
   // know of another one were reached.
   [[nodiscard]] std::optional<std::string> only_version(bool complete) const;
+  // \returns whether the request begins a stream of a service that has several recent versions.
+  [[nodiscard]] bool begins_mixed_stream() const;
   // \returns the versions at which a new stream begins, in this order where their servers take it;
   // empty if it may begin at any.
   [[nodiscard]] std::vector<std::string> preferred_versions() const;
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -119,6 +119,11 @@
              {"list_age_ms", shared_.servers.age(shared_.time.now()).value_or(duration{-1}).ms}});
 }
 
+bool proxied_request::begins_mixed_stream() const {
+  const bool begins = is_resumable() && !required_version_;
+  return begins && shared_.versions.is_mixed(service_, shared_.time.now());
+}
+
 streams::begin_permission proxied_request::permission_at(const std::string& version) const {
   return shared_.declaration.permission({service_, request_.id, shared_.versions.base(service_)},
                                         version, shared_.time.now());
@@ -126,24 +131,22 @@
 
 bool proxied_request::may_begin_at(const std::string& version) const {
   return permission_at(version) != streams::begin_permission::needs_record ||
-         resumption_.records.is_writable();
+         resumption_.records.own().is_writable();
 }
 
 // A short wait for the record is better than servers of a version that get no work.
 std::vector<std::string> proxied_request::preferred_versions() const {
-  const time_point now = shared_.time.now();
-  const bool begins = is_resumable() && !required_version_;
-  if (!begins || !shared_.versions.is_mixed(service_, now)) {
+  if (!begins_mixed_stream()) {
     return {};
   }
   std::vector<std::string> versions;
-  const std::string target = resumption_.records.target_version(service_, request_.id);
+  const std::string target = resumption_.records.own().target_version(service_, request_.id);
   const bool waits = permission_at(target) == streams::begin_permission::needs_record;
-  if (!waits || resumption_.records.records_now()) {
+  if (!waits || resumption_.records.own().can_record_quickly()) {
     versions.push_back(target);
   }
   const auto allowed = shared_.declaration.preferred_version(
-      {service_, request_.id, shared_.versions.base(service_)}, now);
+      {service_, request_.id, shared_.versions.base(service_)}, shared_.time.now());
   if (allowed && *allowed != target) {
     versions.push_back(*allowed);
   }
@@ -161,8 +164,7 @@
   }
   query.software_version = required_version_;
   auto chosen = shared_.dispatcher.choose(query);
-  const bool begins = is_resumable() && !required_version_;
-  if (chosen && begins && !may_begin_at(chosen->server.software_version)) {
+  if (chosen && begins_mixed_stream() && !may_begin_at(chosen->server.software_version)) {
     return failed{dispatch::placement_failure::no_server_of_version};
   }
   return chosen;
@@ -171,7 +173,7 @@
 // A server that holds the prompt in its cache may be of the other version.
 dispatch::placement proxied_request::prefer_sooner(const dispatch::placement& preferred,
                                                    dispatch::placement_query query) {
-  if (!resumption_.records.records_now()) {
+  if (!resumption_.records.own().can_record_quickly()) {
     return preferred;
   }
   query.software_version.reset();
