gateway: a VM that has just come back is known to declare its versions

Callers saw: streams that they took up in the moment in which their lost VM came back were refused, though the records prove their version.

Cause: a VM's entry in the store, and its first message to a peer whose features it does not know, do not say that it declares (older builds refuse the field). The others then took the new process for one of an old build, which may have begun streams at any version, until its second message.

Change: the features that a message announces in its headers tell it, too; and until the new process is heard, what was known of the VM's earlier one stays. A VM that is put back to a build before declarations is taken for one that declares until its first message.

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -132,6 +132,12 @@
   return announced;
 }
 
+// The first message to a peer names nothing that the peer may not understand.
+void peer_link::add_announced(relay::exchange_message& message, const net::header_list& headers) {
+  message.from.declares_versions =
+      message.from.declares_versions || announced_features(headers).declarations;
+}
+
 peer_link::peer_features peer_link::features_of(const endpoint& peer) const {
   const auto found = features_.find(to_text(peer));
   return found == features_.end() ? peer_features{} : found->second;
@@ -176,11 +182,12 @@
     shared_.peers.contact_failed(to, shared_.time.now());
     co_return std::nullopt;
   }
-  const auto answer = decode(response->body);
+  auto answer = decode(response->body);
   if (!answer) {
     observe::log_event(observe::level::warning, "exchange_unreadable", {{"peer", to.address}});
     co_return std::nullopt;
   }
+  add_announced(*answer, response->headers);
   apply_message(*answer);
   // A peer that has just started too may know as little.
   const bool handed_back = message.records_wanted && !answer->records_wanted;
@@ -192,10 +199,11 @@
                                                  net::response_writer& writer) {
   net::http_response response;
   response.headers = own_features();
-  const auto message = decode(request.body);
+  auto message = decode(request.body);
   if (!message) {
     response.status = 400;
   } else {
+    add_announced(*message, request.headers);
     apply_message(*message);
     const peer_features understood = announced_features(request.headers);
     relay::exchange_message answer = compose_message(understood);
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -60,6 +60,8 @@
     bool declarations = false;
   };
   static peer_features announced_features(const net::header_list& headers);
+  // Adds what the sender's headers tell of it and its message does not.
+  static void add_announced(relay::exchange_message& message, const net::header_list& headers);
   [[nodiscard]] peer_features features_of(const endpoint& peer) const;
   [[nodiscard]] relay::exchange_message compose_message(const peer_features& understood);
   void apply_limits(const relay::exchange_message& message);
--- a/src/relay/peer_set.cpp
+++ b/src/relay/peer_set.cpp
@@ -68,8 +68,8 @@
   return &known;
 }
 
-// Forwarded state may omit a peer's work and, if it passed a VM of an earlier build, what the peer
-// declares; the last known is then kept.
+// Forwarded state may omit a peer's work and what the peer declares, as an entry in the store does;
+// the last known is then kept, also of the VM's earlier process, until the new one is heard.
 void peer_set::update_peer(known_peer& known, const peer& about, bool direct, time_point now) {
   const bool same_incarnation = known.about.incarnation == about.incarnation;
   if (!same_incarnation && !known.about.incarnation.empty()) {
@@ -77,7 +77,7 @@
   }
   const bool has_work = direct || !about.work.empty() || !same_incarnation;
   std::vector<server_work> previous_work = std::move(known.about.work);
-  const bool declared = same_incarnation && known.about.declares_versions;
+  const bool declared = (same_incarnation || !direct) && known.about.declares_versions;
   known.about = about;
   known.about.declares_versions = about.declares_versions || declared;
   known.heartbeat_at = now;
--- a/tests/relay/declaring_peers_test.cpp
+++ b/tests/relay/declaring_peers_test.cpp
@@ -63,5 +63,20 @@
   CPPUNIT_ASSERT(!peers.all_declare_versions());
 }
 
+// Guards against resumed streams that are refused while a lost VM comes back: its entry in the
+// store says nothing of what it declares.
+TEST_THAT(peer_set, keeps_what_a_vm_declared_until_its_new_process_is_heard) {
+  peer_set peers(make_peer("a", 1, true), {}, {});
+  peers.merge_message(message_from(make_peer("b", 1, true)), start);
+  peer entry = make_peer("b", 2, false);
+  entry.incarnation = "two";
+  peers.merge_store_entry(entry, start);
+  CPPUNIT_ASSERT(peers.all_declare_versions());
+  peer other_build = make_peer("b", 3, false);
+  other_build.incarnation = "three";
+  peers.merge_message(message_from(other_build), start);
+  CPPUNIT_ASSERT(!peers.all_declare_versions());
+}
+
 }  // namespace
 }  // namespace hawthornnotch::relay
