gateway: a new stream is not held to a version whose servers fail

Cause: since a stream prefers the version of its id, it was sent to that version's servers, though all of them had just refused connections, and only then to others; each dead server was also tried through other VMs, and after eight of their refusals the request is given up. Placement passes over servers that have failed, but only among those it may choose from.

Change: a version whose best server is avoided is not preferred, and after a failed try any version may follow if the stream can be recorded soon. Nothing changes while one version serves.

--- a/include/hawthornnotch/dispatch/dispatcher.h
+++ b/include/hawthornnotch/dispatch/dispatcher.h
@@ -58,6 +58,8 @@
   std::uint32_t uncached_tokens = 0;
   /// Estimated time to the first event, in ms.
   double expected_ms = 0;
+  /// The server has failed lately or can't be reached; no other one was left to choose.
+  bool avoided = false;
   /// Expected loss, as a fraction of the request's value; placement minimizes it.
   double loss = 0;
   /// The server to fetch the KV cache of the shared parts from; none if they are prefilled.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -226,6 +226,7 @@
     }
     placement next = score(query, each, among);
     next.loss += random_.unit() * tie_break_loss;
+    next.avoided = each.avoided;
     const internal::suitability how = suitability_of(query, each, among, next);
     offered.offer(each, std::move(next), how);
   }
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -134,15 +134,17 @@
          resumption_.records.own().is_writable();
 }
 
-// A short wait for the record is better than servers of a version that get no work.
+// A short wait for the record is better than servers of a version that get no work, and than tries
+// at further servers of a version that has just failed.
 std::vector<std::string> proxied_request::preferred_versions() const {
-  if (!begins_mixed_stream()) {
+  const bool records_now = resumption_.records.own().can_record_quickly();
+  if (!begins_mixed_stream() || (!tried_servers_.empty() && records_now)) {
     return {};
   }
   std::vector<std::string> versions;
   const std::string target = resumption_.records.own().target_version(service_, request_.id);
   const bool waits = permission_at(target) == streams::begin_permission::needs_record;
-  if (!waits || resumption_.records.own().can_record_quickly()) {
+  if (!waits || records_now) {
     versions.push_back(target);
   }
   const auto allowed = shared_.declaration.preferred_version(
@@ -155,19 +157,25 @@
 
 result<dispatch::placement, dispatch::placement_failure> proxied_request::choose_server(
     dispatch::placement_query query) {
+  using choice = result<dispatch::placement, dispatch::placement_failure>;
+  std::optional<dispatch::placement> avoided;
   for (const std::string& version : preferred_versions()) {
     query.software_version = version;
-    auto chosen = shared_.dispatcher.choose(query);
-    if (chosen) {
+    const choice chosen = shared_.dispatcher.choose(query);
+    if (chosen && !chosen->avoided) {
       return prefer_sooner(*chosen, query);
     }
+    if (chosen && !avoided) {
+      avoided = *chosen;
+    }
   }
   query.software_version = required_version_;
-  auto chosen = shared_.dispatcher.choose(query);
-  if (chosen && begins_mixed_stream() && !may_begin_at(chosen->server.software_version)) {
-    return failed{dispatch::placement_failure::no_server_of_version};
+  choice chosen = shared_.dispatcher.choose(query);
+  if (!chosen || !begins_mixed_stream() || may_begin_at(chosen->server.software_version)) {
+    return chosen;
   }
-  return chosen;
+  return avoided ? choice(*avoided)
+                 : choice(failed{dispatch::placement_failure::no_server_of_version});
 }
 
 // A server that holds the prompt in its cache may be of the other version.
