gateway: a resumed stream waits for the records as long as a reading may take

Cause, of a part: a VM of 295 reads the records each 1.2 s at most, but a caller waited 0.5 s for them, so that over half of them were refused without a look. It waits for the interval and 0.5 s now. The doubt names which of three things was missing; it could not tell them apart.

--- a/include/hawthornnotch/streams/version_proof.h
+++ b/include/hawthornnotch/streams/version_proof.h
@@ -44,7 +44,14 @@
 [[nodiscard]] begin_facts gather_facts(std::string_view service, const declaration_table& declared,
                                        const fleet_view& seen);
 
+/// Why the version of a stream is not proved.
 enum class begin_doubt : std::uint8_t {
+  /// The declarations could not be read in time.
+  records_unread,
+  /// Declarations may be missing, since the store was restored lately.
+  records_lost,
+  /// It is not known of each VM whether its build declares, or no other VM is known.
+  unknown_build,
   /// A VM that may have begun it begins streams at any version.
   open_rule,
   /// It may have begun at the base version, which is not known.
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -223,8 +223,8 @@
   bool all_paused_ = false;
   // The stream has begun at this software version and goes on at no other.
   std::optional<std::string> required_version_;
-  // Why the version of the resumed stream is not proved; none if the records could not be judged.
-  std::optional<streams::begin_doubt> doubt_;
+  // Why the version of the resumed stream is not proved.
+  streams::begin_doubt doubt_ = streams::begin_doubt::records_unread;
   bool version_unavailable_ = false;
   // The request, or a part of it, is known to crash servers.
   bool quarantined_ = false;
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -73,6 +73,7 @@
 asio::awaitable<bool> proxied_request::prove_version() {
   auto facts = resumption_.records.begin_facts(service_, arrived_at_);
   if (!facts) {
+    doubt_ = facts.last_reason();
     co_return false;
   }
   if (take_proof(*facts, "rule")) {
@@ -115,7 +116,7 @@
              {"recent_versions", recent.size()},
              {"history_known", resumption_.records.history_known()},
              {"peers_answered", peers_answered},
-             {"doubt", doubt_ ? streams::to_string(*doubt_) : "records_not_whole"},
+             {"doubt", streams::to_string(doubt_)},
              {"list_age_ms", shared_.servers.age(shared_.time.now()).value_or(duration{-1}).ms}});
 }
 
--- a/src/gateway/stream_records.cpp
+++ b/src/gateway/stream_records.cpp
@@ -23,8 +23,8 @@
 /// While nothing is to be read and versions are not mixed.
 constexpr std::chrono::milliseconds idle_check_period{500};
 constexpr duration min_read_interval{250};
-/// How long a request waits for the records.
-constexpr duration max_read_wait{500};
+/// How long a request waits for the records once they are being read.
+constexpr duration max_read_time{500};
 constexpr std::chrono::milliseconds read_poll_period{5};
 
 }  // namespace
@@ -111,7 +111,7 @@
 }
 
 asio::awaitable<void> stream_records::refresh(time_point since) {
-  const time_point end = shared_.time.now() + max_read_wait;
+  const time_point end = shared_.time.now() + read_interval() + max_read_time;
   asio::steady_timer timer(executor_);
   time_point now = shared_.time.now();
   while (!declarations_.is_read_since(since) && now < end) {
@@ -131,13 +131,16 @@
 
 // A VM of an earlier build may have begun streams without a declaration; whether a VM that was
 // never heard of is one is not known.
-std::optional<streams::begin_facts> stream_records::begin_facts(std::string_view service,
-                                                                time_point since) const {
-  const bool complete = declarations_.is_read_since(since) &&
-                        trust_.is_unbroken(shared_.time.now()) && shared_.peers.knows_others() &&
-                        shared_.peers.all_declare_versions();
-  if (!complete) {
-    return std::nullopt;
+result<streams::begin_facts, streams::begin_doubt> stream_records::begin_facts(
+    std::string_view service, time_point since) const {
+  if (!declarations_.is_read_since(since)) {
+    return failed{streams::begin_doubt::records_unread};
+  }
+  if (!trust_.is_unbroken(shared_.time.now())) {
+    return failed{streams::begin_doubt::records_lost};
+  }
+  if (!shared_.peers.knows_others() || !shared_.peers.all_declare_versions()) {
+    return failed{streams::begin_doubt::unknown_build};
   }
   return streams::gather_facts(service, declarations_,
                                {own_record_.known_vms(), shared_.versions.base(service)});
--- a/src/gateway/stream_records.h
+++ b/src/gateway/stream_records.h
@@ -43,9 +43,9 @@
   // Waits until the records were read into the state since `since`, but not for long.
   boost::asio::awaitable<void> refresh(time_point since);
   // \returns by which rules VMs may have begun streams of the service before `since` that no record
-  // names; none if declarations may have been lost or were not read since.
-  [[nodiscard]] std::optional<streams::begin_facts> begin_facts(std::string_view service,
-                                                                time_point since) const;
+  // names; fails if declarations may have been lost or were not read since.
+  [[nodiscard]] result<streams::begin_facts, streams::begin_doubt> begin_facts(
+      std::string_view service, time_point since) const;
   // This VM's own record.
   [[nodiscard]] const own_stream_record& own() const { return own_record_; }
   // \returns whether `gateway_state::versions` knows all recent versions: this process has read the
--- a/src/streams/version_proof.cpp
+++ b/src/streams/version_proof.cpp
@@ -6,6 +6,12 @@
 
 std::string_view to_string(begin_doubt doubt) {
   switch (doubt) {
+    case begin_doubt::records_unread:
+      return "records_unread";
+    case begin_doubt::records_lost:
+      return "records_lost";
+    case begin_doubt::unknown_build:
+      return "unknown_build";
     case begin_doubt::open_rule:
       return "open_rule";
     case begin_doubt::unknown_base:
