streams: a record that can't be read proves nothing of its VM

Found reading the change once more. A record of streams in the store that can't be decoded was logged and then taken for one that declares nothing, so that its VM seemed to have begun all its streams at the base version: more than is known. With a lost VM whose record is unreadable a stream could go on at the base version that had begun at another (ORDER).

Change: such a VM may have begun streams of any service at any version, and no base version follows from what served alone. Its streams are refused until it is back or its record is gone; a process whose predecessor's record is unreadable declares no rule for as long as that one's streams last.

--- a/include/hawthornnotch/streams/stream_record.h
+++ b/include/hawthornnotch/streams/stream_record.h
@@ -30,7 +30,9 @@
   std::optional<std::int64_t> era;
   bool operator==(const stream_record&) const = default;
   /// \returns what the VM declares.
-  [[nodiscard]] vm_declaration declaration() const { return {recent_versions, rules, known_vms}; }
+  [[nodiscard]] vm_declaration declaration() const {
+    return {recent_versions, rules, known_vms, true};
+  }
 };
 
 enum class record_failure : std::uint8_t { malformed };
--- a/include/hawthornnotch/streams/vm_declaration.h
+++ b/include/hawthornnotch/streams/vm_declaration.h
@@ -22,6 +22,16 @@
   /// Entry VMs that the VM remembers, itself included; 0 in records of an earlier build.
   std::int64_t known_vms = 0;
 
+  /// False if the record could not be read: it may declare any service, by any rule.
+  bool readable = true;
+
+  /// \returns what is known of a VM whose record could not be read.
+  [[nodiscard]] static vm_declaration unreadable();
+  /// \returns whether the VM may have begun streams of the service at another version than the base
+  /// one.
+  [[nodiscard]] bool may_declare(std::string_view service) const {
+    return !readable || mixed.contains(service);
+  }
   /// \returns the rule of a declared service; an open one if it names none.
   [[nodiscard]] begin_rule rule_of(std::string_view service) const;
   bool operator==(const vm_declaration&) const = default;
--- a/src/gateway/own_stream_record.cpp
+++ b/src/gateway/own_stream_record.cpp
@@ -34,7 +34,7 @@
   auto record = streams::decode_stream_record(found.value);
   if (!record) {
     log_event(level::warning, "stream_record_unreadable", {{"key", found.key}});
-    return {};
+    return streams::vm_declaration::unreadable();
   }
   const auto source = found.key == own_stream_record::key_of(shared.settings.vm)
                           ? streams::origin_source::own
--- a/src/gateway/own_stream_record.h
+++ b/src/gateway/own_stream_record.h
@@ -20,7 +20,7 @@
 constexpr std::string_view stream_record_prefix = "hn/streams/";
 
 // Takes the record of one VM into the state.  The streams of this VM's earlier process stay in its
-// record.  \returns what the record declares.
+// record.  \returns what the record declares; that it is unreadable if it can't be decoded.
 streams::vm_declaration take_stream_record(gateway_state& shared, const platform::key_value& found);
 
 // While a service has more than one recent version, each VM writes its recent versions and the
--- a/src/streams/declaration_table.cpp
+++ b/src/streams/declaration_table.cpp
@@ -14,7 +14,7 @@
 std::map<std::string, begin_rule> declaration_table::declarers(std::string_view service) const {
   std::map<std::string, begin_rule> out;
   for (const auto& [vm, declared] : by_vm_) {
-    if (declared.mixed.contains(service)) {
+    if (declared.may_declare(service)) {
       out.emplace(vm, declared.rule_of(service));
     }
   }
@@ -32,11 +32,10 @@
 version_sets recorded_bases(version_sets in_service,
                             const declaration_table::declaration_map& by_vm) {
   version_sets bases = std::move(in_service);
-  for (const auto& [vm, declared] : by_vm) {
-    for (const auto& [service, versions] : declared.mixed) {
-      bases.erase(service);
-    }
-  }
+  std::erase_if(bases, [&](const auto& each) {
+    return std::any_of(by_vm.begin(), by_vm.end(),
+                       [&](const auto& record) { return record.second.may_declare(each.first); });
+  });
   for (const auto& [vm, declared] : by_vm) {
     for (const auto& [service, rule] : declared.rules) {
       if (rule.base) {
--- a/src/streams/version_declaration.cpp
+++ b/src/streams/version_declaration.cpp
@@ -82,7 +82,7 @@
                                                     const new_stream& stream,
                                                     std::string_view version) {
   bool fits = false;
-  if (held.mixed.contains(stream.service)) {
+  if (held.may_declare(stream.service)) {
     const begin_rule rule = held.rule_of(stream.service);
     fits = rule.is_open() || rule.versions_for(stream.attempt).contains(std::string(version));
   } else if (!stream.base) {
@@ -128,7 +128,7 @@
   }
   const bool may_be_undeclared =
       !is_leased(now) || std::any_of(possible_->begin(), possible_->end(), [&](const auto& held) {
-        return !held.mixed.contains(stream.service);
+        return !held.may_declare(stream.service);
       });
   if (may_be_undeclared && stream.base) {
     candidates.insert(candidates.begin(), *stream.base);
@@ -148,7 +148,7 @@
   if (!predecessor_) {
     return begin_rule{};
   }
-  if (predecessor_->mixed.contains(service)) {
+  if (predecessor_->may_declare(service)) {
     return predecessor_->rule_of(service);
   }
   begin_rule rule;
@@ -184,7 +184,7 @@
 }
 
 bool version_declaration::knows_own_streams(std::string_view service) const {
-  return predecessor_ && !predecessor_->mixed.contains(service);
+  return predecessor_ && !predecessor_->may_declare(service);
 }
 
 }  // namespace hawthornnotch::streams
--- a/tests/resumed_streams/lost_keepers_test.cpp
+++ b/tests/resumed_streams/lost_keepers_test.cpp
@@ -98,6 +98,23 @@
   fleet.vm(lost_vms).await([&] { return fleet.resume("c", unknown_stream) == 200U; });
 }
 
+// A record that can't be read is no proof that its VM declared nothing.
+TEST_THAT(resumed_stream, is_refused_while_a_lost_vm_has_an_unreadable_record) {
+  large_release_fleet fleet;
+  fleet.begin_release();
+  std::this_thread::sleep_for(record_writing_time);
+  fleet.lose_most();
+  fleet.store().put("hn/streams/entry-2", "unreadable");
+  // All other records name the base version for it.
+  const auto shares = streams::version_shares::create({{"v1", 1}, {"v2", 1}});
+  std::string unknown = unknown_stream;
+  while (shares->version_for(unknown) != "v1") {
+    unknown += "0";
+  }
+  CPPUNIT_ASSERT_EQUAL(503U, fleet.resume("b", unknown));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resumptions_at(fleet.old_server()));
+}
+
 // The rule that each of the lost VMs declared names one version for the stream: it needs no VM
 // back.
 TEST_THAT(resumed_stream, goes_on_while_vms_are_lost_whose_rules_name_its_version) {
--- a/tests/streams/version_declaration_test.cpp
+++ b/tests/streams/version_declaration_test.cpp
@@ -159,6 +159,14 @@
   CPPUNIT_ASSERT(after_earlier_build.next_rule(inputs("v2")).is_open());
 }
 
+// What the earlier process declared is not known, so nothing about its streams is.
+TEST_THAT(next_rule, is_open_after_a_process_whose_record_can_not_be_read) {
+  version_declaration declaration;
+  declaration.on_predecessor(vm_declaration::unreadable());
+  CPPUNIT_ASSERT(declaration.next_rule(inputs("v2")).is_open());
+  CPPUNIT_ASSERT(!declaration.knows_own_streams("forecast"));
+}
+
 // Restarts in a row must not let the record grow without bound.
 TEST_THAT(next_rule, is_open_after_many_different_rules) {
   std::vector<version_shares> many;
--- a/tests/streams/version_proof_test.cpp
+++ b/tests/streams/version_proof_test.cpp
@@ -107,6 +107,17 @@
   CPPUNIT_ASSERT(gather_facts("drafts", table, {2, std::nullopt}).beginners.empty());
 }
 
+// Guards against a record that can't be read being taken for a proof that its VM declared nothing.
+TEST_THAT(version_proof, finds_nothing_where_a_record_can_not_be_read) {
+  const vm_declaration unreadable = vm_declaration::unreadable();
+  declaration_table table;
+  table.on_read({{"x", declares(rule_of({only("v2")}), 2)}, {"y", unreadable}}, start);
+  const auto facts = gather_facts("forecast", table, {2, "v1"});
+  CPPUNIT_ASSERT(prove_version(facts, "a").last_reason() == begin_doubt::open_rule);
+  const version_sets in_service{{"forecast", {"v1"}}};
+  CPPUNIT_ASSERT(!recorded_bases(in_service, {{"y", unreadable}}).contains("forecast"));
+}
+
 // Review case 13: processes that started while versions were mixed learn the base version.
 TEST_THAT(recorded_bases, are_those_that_vms_name_or_that_served_alone) {
   const version_sets in_service{{"forecast", {"v2"}}, {"drafts", {"d1"}}};
