gateway: no question about mixed versions twice for each request

Found reading the change once more: where one version serves, each choice of a server asked twice whether versions are mixed, which builds a set of names, and how large the fleet is. It asks once now, and then chooses as before. A stream that waits for its record no longer fails if versions cease to be mixed meanwhile.

--- a/include/hawthornnotch/streams/version_declaration.h
+++ b/include/hawthornnotch/streams/version_declaration.h
@@ -46,8 +46,8 @@
 /// Example:
 ///     declaration.on_sending(declared);
 ///     declaration.on_written(declared, composed_at);
-///     if (declaration.permission({"forecast", id, base}, "v2", now) ==
-///     begin_permission::allowed) { ... }
+///     const auto may_begin = declaration.permission({"forecast", id, base}, "v2", now);
+///     if (may_begin == begin_permission::allowed) { ... }
 /// Ownership: a value.  Thread safety: none.
 class version_declaration {
  public:
--- a/src/gateway/origin_link.cpp
+++ b/src/gateway/origin_link.cpp
@@ -122,7 +122,7 @@
     now = shared_.time.now();
     named = shared_.declaration.names_streams_until(service, began_at, now);
   }
-  co_return named;
+  co_return named || !shared_.versions.is_mixed(service, now);
 }
 
 asio::awaitable<void> origin_link::await_declaration(std::string service, time_point end) {
--- a/src/gateway/origin_link.h
+++ b/src/gateway/origin_link.h
@@ -80,13 +80,14 @@
     bool knows_own_streams = false;
   };
   boost::asio::awaitable<void> await_declaration(std::string service, time_point end);
-  // \returns whether the store's record names a stream that began at this time.
+  // \returns whether the store's record names a stream that began at this time, or need not as
+  // versions are no longer mixed.
   boost::asio::awaitable<bool> await_record(std::string service, time_point began_at);
   // \returns the progress at the keepers.
   std::shared_ptr<delivery> tell(const streams::stream_origin& origin);
   void flush();
   boost::asio::awaitable<void> send_origins(batch what);
-  // \param vm whose address this is; empty if it does not matter.
+  // \param vm the name by which `inquiry::excluded` is to hold the VM.
   boost::asio::awaitable<void> ask(std::string vm, endpoint to, std::shared_ptr<inquiry> about);
   boost::asio::awaitable<std::optional<peer_answer>> exchange(
       const endpoint& to, const streams::origin_message& message);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -84,8 +84,8 @@
   [[nodiscard]] std::optional<std::string> only_version(bool complete) const;
   // \returns whether the request begins a stream of a service that has several recent versions.
   [[nodiscard]] bool begins_mixed_stream() const;
-  // \returns the versions at which a new stream begins, in this order where their servers take it;
-  // empty if it may begin at any.
+  // \returns the versions at which a new stream of a mixed service begins, in this order where
+  // their servers take it; empty if it may begin at any.
   [[nodiscard]] std::vector<std::string> preferred_versions() const;
   // \returns whether the stream may begin at this version, perhaps once the store's record names
   // it.
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -139,7 +139,7 @@
 // at further servers of a version that has just failed.
 std::vector<std::string> proxied_request::preferred_versions() const {
   const bool records_now = resumption_.records.own().can_record_quickly();
-  if (!begins_mixed_stream() || (!tried_servers_.empty() && records_now)) {
+  if (!tried_servers_.empty() && records_now) {
     return {};
   }
   std::vector<std::string> versions;
@@ -159,6 +159,10 @@
 result<dispatch::placement, dispatch::placement_failure> proxied_request::choose_server(
     dispatch::placement_query query) {
   using choice = result<dispatch::placement, dispatch::placement_failure>;
+  if (!begins_mixed_stream()) {
+    query.software_version = required_version_;
+    return shared_.dispatcher.choose(query);
+  }
   std::optional<dispatch::placement> avoided;
   for (const std::string& version : preferred_versions()) {
     query.software_version = version;
@@ -170,9 +174,9 @@
       avoided = *chosen;
     }
   }
-  query.software_version = required_version_;
+  query.software_version.reset();
   choice chosen = shared_.dispatcher.choose(query);
-  if (!chosen || !begins_mixed_stream() || may_begin_at(chosen->server.software_version)) {
+  if (!chosen || may_begin_at(chosen->server.software_version)) {
     return chosen;
   }
   return avoided ? choice(*avoided)
